--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,227 @@
+//! What passes between the decision module and its host: ids, times, the settings as they are
+//! given, outcomes and decisions. Nothing here decides anything.
+
+use std::ops::{Add, Sub};
+
+/// Whole nanoseconds, of the host's clock or as a span.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Nanos(pub u64);
+
+impl Nanos {
+    pub fn from_millis(ms: f64) -> Nanos {
+        Nanos((ms.max(0.0) * 1e6).round() as u64)
+    }
+
+    pub fn as_millis(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// This span stretched or shrunk.
+    pub fn times(self, factor: f64) -> Nanos {
+        Nanos((self.0 as f64 * factor.max(0.0)) as u64)
+    }
+}
+
+impl Add for Nanos {
+    type Output = Nanos;
+    fn add(self, other: Nanos) -> Nanos {
+        Nanos(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Nanos {
+    type Output = Nanos;
+    /// What remains; nothing where the other is larger.
+    fn sub(self, other: Nanos) -> Nanos {
+        Nanos(self.0.saturating_sub(other.0))
+    }
+}
+
+macro_rules! ids {
+    ($($name:ident($inner:ty)),*) => {$(
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+ids!(
+    MultigetId(u64),
+    NodeId(u32),
+    ShardId(u32),
+    PlaceId(u32),
+    ZoneId(u32),
+    UseCaseId(usize),
+    CustomerId(usize),
+    HandOffNo(u32)
+);
+
+/// A part is known by its multiget and its place among the parts handed in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartId {
+    pub of: MultigetId,
+    pub index: usize,
+}
+
+/// What a repeat of a part may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Replayable,
+    /// A repeat is dropped for this long after the first hand-off that may have run.
+    Referenced(Nanos),
+    SingleUse,
+}
+
+#[derive(Clone, Debug)]
+pub struct UseCaseFacts {
+    pub goal: Nanos,
+    pub hard: Nanos,
+    pub earnings: f64,
+    pub late_share: f64,
+    pub effect: Effect,
+    /// The goal time grows by this multiple of the multiget's own work.
+    pub stretch: f64,
+    pub need: f64,
+    pub floor: f64,
+    pub second_step: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct ColdFacts {
+    pub from: f64,
+    pub warm_after: Nanos,
+    pub multiple: f64,
+    pub window: Nanos,
+}
+
+#[derive(Clone, Debug)]
+pub struct BudgetFacts {
+    pub free: f64,
+    pub share: f64,
+    pub window: Nanos,
+}
+
+/// The settings as given when a router starts.
+#[derive(Clone, Debug)]
+pub struct SiteFacts {
+    pub routers: usize,
+    pub use_cases: Vec<UseCaseFacts>,
+    /// For each customer, multigets a second inside its share, over all routers.
+    pub customers: Vec<f64>,
+    pub zone: ZoneId,
+    pub tick: Nanos,
+    pub cold: ColdFacts,
+    pub budget: Option<BudgetFacts>,
+    pub places: u32,
+    pub width: u32,
+    pub cancel: bool,
+    pub probes: bool,
+    pub second_copies: bool,
+    pub most_hand_offs: u32,
+    pub longest_wait: Option<Nanos>,
+    pub must_ask: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    Running,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct NodeEntry {
+    pub node: NodeId,
+    pub place: PlaceId,
+    pub zone: ZoneId,
+    pub health: Health,
+    /// When it last started, if lately.
+    pub since: Nanos,
+    pub weight: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    Changes,
+    Full,
+}
+
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub multiget: MultigetId,
+    pub use_case: UseCaseId,
+    pub customer: CustomerId,
+    pub client_end: Nanos,
+    /// Expected work of all parts, where the host is told.
+    pub effort: Option<Nanos>,
+    pub repeat: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct PartArrival {
+    pub part: PartId,
+    pub shard: ShardId,
+    pub weight: f64,
+    pub effort: Option<Nanos>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Answered,
+    Error,
+    TurnedAway,
+    TimedOut,
+    Unreachable,
+    Broken,
+    CalledOff,
+    NeverSent,
+}
+
+/// A node's own account of its load, as far as it gives one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    pub busy_share: Option<f64>,
+    pub waiting: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Ending {
+    pub part: PartId,
+    pub no: HandOffNo,
+    pub node: NodeId,
+    pub outcome: Outcome,
+    pub took: Nanos,
+    pub report: LoadReport,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    HandOff {
+        part: PartId,
+        node: NodeId,
+        stop_at: Nanos,
+    },
+    CallOff {
+        part: PartId,
+        no: HandOffNo,
+    },
+    /// `last` is false for the answer that brings a second step.
+    Settle {
+        multiget: MultigetId,
+        whole: bool,
+        last: bool,
+    },
+    Dismiss {
+        multiget: MultigetId,
+        wait: Nanos,
+    },
+    BreakOff {
+        multiget: MultigetId,
+    },
+    Probe {
+        node: NodeId,
+    },
+    FollowList,
+    Wake {
+        after: Nanos,
+    },
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,5 @@
+//! fernknot: a co-ordinator of queries over replicated shards.
+
+pub mod decide;
+pub mod interface;
+pub mod state;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,171 @@
+//! Plain containers for what a router knows. Nothing here decides anything.
+
+use crate::interface::*;
+use std::collections::VecDeque;
+
+/// Multiply-with-carry.
+#[derive(Clone, Debug)]
+pub struct Mwc(u64);
+
+impl Mwc {
+    pub fn new(seed: u64) -> Mwc {
+        let mixed = seed ^ (seed >> 32);
+        Mwc((mixed & 0xffff_ffff) | (1 << 32))
+    }
+
+    /// A whole number under `bound`.
+    pub fn under(&mut self, bound: u32) -> u32 {
+        self.0 = 4_294_957_665 * (self.0 & 0xffff_ffff) + (self.0 >> 32);
+        (((self.0 & 0xffff_ffff) * u64::from(bound)) >> 32) as u32
+    }
+}
+
+/// Spans in coarse bins, each wider than the one before by the same ratio; misses lie past all.
+#[derive(Clone, Debug)]
+pub struct Histogram {
+    first: f64,
+    ratio: f64,
+    bins: Vec<f64>,
+    misses: f64,
+}
+
+impl Histogram {
+    pub fn new(first: f64, ratio: f64, bins: usize) -> Histogram {
+        Histogram { first, ratio, bins: vec![0.0; bins], misses: 0.0 }
+    }
+
+    fn upper(&self, bin: usize) -> f64 {
+        self.first * self.ratio.powi(bin as i32)
+    }
+
+    fn middle(&self, bin: usize) -> f64 {
+        let lower = if bin == 0 { 0.0 } else { self.upper(bin - 1) };
+        (lower + self.upper(bin)) / 2.0
+    }
+
+    pub fn add(&mut self, value: f64) {
+        match (0..self.bins.len()).find(|&bin| value <= self.upper(bin)) {
+            Some(bin) => self.bins[bin] += 1.0,
+            None => self.misses += 1.0,
+        }
+    }
+
+    pub fn add_miss(&mut self) {
+        self.misses += 1.0;
+    }
+
+    pub fn halve(&mut self) {
+        self.bins.iter_mut().for_each(|count| *count /= 2.0);
+        self.misses /= 2.0;
+    }
+
+    pub fn total(&self) -> f64 {
+        self.bins.iter().sum::<f64>() + self.misses
+    }
+
+    /// How many lie under `value`, evenly spread within a bin.
+    pub fn under(&self, value: f64) -> f64 {
+        let mut sum = 0.0;
+        let mut lower = 0.0;
+        for (bin, count) in self.bins.iter().enumerate() {
+            let upper = self.upper(bin);
+            if value < upper {
+                return sum + count * ((value - lower) / (upper - lower)).max(0.0);
+            }
+            sum += count;
+            lower = upper;
+        }
+        sum
+    }
+
+    /// Mean and squared coefficient of variation of the fastest `share`; misses count as the top.
+    pub fn fastest(&self, share: f64) -> Option<(f64, f64)> {
+        let mut left = self.total() * share;
+        let (mut count, mut sum, mut squares) = (0.0, 0.0, 0.0);
+        let past = (self.middle(self.bins.len()), self.misses);
+        let filled = self.bins.iter().enumerate().map(|(bin, n)| (self.middle(bin), *n));
+        for (value, n) in filled.chain([past]) {
+            let n = n.min(left);
+            left -= n;
+            count += n;
+            sum += n * value;
+            squares += n * value * value;
+        }
+        (count > 0.0).then(|| {
+            let mean = sum / count;
+            (mean, (squares / count / (mean * mean) - 1.0).max(0.0))
+        })
+    }
+}
+
+/// Amounts of the last while, kept to the instant.
+#[derive(Clone, Debug, Default)]
+pub struct SlidingCount {
+    held: VecDeque<(Nanos, f64)>,
+}
+
+impl SlidingCount {
+    pub fn add(&mut self, at: Nanos, amount: f64) {
+        self.held.push_back((at, amount));
+    }
+
+    /// The sum of what came less than `span` ago.
+    pub fn within(&self, now: Nanos, span: Nanos) -> f64 {
+        let recent = self.held.iter().rev().take_while(|(at, _)| now - *at < span);
+        recent.map(|(_, amount)| amount).sum()
+    }
+
+    pub fn forget(&mut self, now: Nanos, span: Nanos) {
+        while self.held.front().is_some_and(|(at, _)| now - *at > span) {
+            self.held.pop_front();
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct HandOff {
+    pub node: NodeId,
+    pub sent: Nanos,
+    pub expected: Nanos,
+    pub size: f64,
+    /// The work in hand at its node when it was sent, itself included.
+    pub ahead: f64,
+    pub outcome: Option<Outcome>,
+    /// It has been counted as a miss of its node while still out.
+    pub missed: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Part {
+    pub shard: ShardId,
+    pub weight: f64,
+    pub size: f64,
+    pub hand_offs: Vec<HandOff>,
+    pub answered: bool,
+    pub given_up: bool,
+}
+
+impl Part {
+    pub fn out(&self) -> usize {
+        self.hand_offs.iter().filter(|sent| sent.outcome.is_none()).count()
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Multiget {
+    pub use_case: UseCaseId,
+    pub customer: CustomerId,
+    pub goal_end: Nanos,
+    pub client_end: Nanos,
+    pub within_share: bool,
+    pub parts: Vec<Part>,
+    /// Where the parts of the present step begin.
+    pub step_from: usize,
+    /// No part of the present step has been looked at yet.
+    pub fresh: bool,
+    pub first_whole: bool,
+    /// When it is to be looked at without news.
+    pub look_at: Nanos,
+    /// It has had its final answer; kept only for what is still out.
+    pub ended: bool,
+}
