Count called-off work as held by its replica until its expected end

Cause: where a cancel stops nothing, a replica was taken for idle right after its hand-offs were called off, as happens in numbers when clients leave.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -76,6 +76,8 @@
     /// Time it takes for each size of work in hand here.
     pace: Option<f64>,
     in_hand: f64,
+    /// Sizes called off, and when they would be worked off.
+    called_off: Vec<(Nanos, f64)>,
     out: BTreeSet<(Nanos, PartId, usize)>,
     last_answer: Nanos,
     busy_share: Option<f64>,
@@ -165,6 +167,7 @@
             latencies: bins.clone(),
             pace: None,
             in_hand: 0.0,
+            called_off: Vec::new(),
             out: BTreeSet::new(),
             last_answer: Nanos(0),
             busy_share: None,
@@ -174,6 +177,14 @@
     }
 }
 
+impl Node {
+    /// Sizes of work that it has of ours, for all that is known.
+    fn holds(&self, now: Nanos) -> f64 {
+        let called_off = self.called_off.iter().filter(|(until, _)| *until > now);
+        self.in_hand + called_off.map(|(_, size)| size).sum::<f64>()
+    }
+}
+
 impl Router {
     pub fn new(seed: u64, facts: SiteFacts, now: Nanos) -> Router {
         let goals = facts.use_cases.iter().map(|case| case.goal);
@@ -699,12 +710,13 @@
         let size = part.size * share;
         node.out.insert((now, id, part.hand_offs.len()));
         node.in_hand += size;
+        node.called_off.retain(|(until, _)| *until > now);
         part.hand_offs.push(HandOff {
             node: offer.node,
             sent: now,
             expected: offer.delay,
             size,
-            ahead: node.in_hand,
+            ahead: node.holds(now),
             outcome: None,
             missed: false,
         });
@@ -724,10 +736,11 @@
         for (no, sent) in multiget.parts[part.index].hand_offs.iter_mut().enumerate() {
             if sent.outcome.is_none() && sent.size > 0.0 {
                 self.ready.push_back(Decision::CallOff { part, no: HandOffNo(no as u32) });
-                // What is called off counts as gone from its node's work in hand.
                 if let Some(node) = self.nodes.get_mut(&sent.node) {
                     node.in_hand = (node.in_hand - sent.size).max(0.0);
                     node.out.remove(&(sent.sent, part, no));
+                    // Guards against taking a replica for idle that goes on with what was called off.
+                    node.called_off.push((sent.sent + sent.expected, sent.size));
                 }
                 sent.size = 0.0;
             }
@@ -797,7 +810,7 @@
     /// How long a part of this size would take at a replica, by what it holds of ours.
     fn delay(&self, now: Nanos, node: &Node, size: f64) -> f64 {
         let usual = self.pace.unwrap_or(self.shortest_goal.0 as f64 * DELAY_STEP * 2.0);
-        let drain = node.pace.unwrap_or(usual) * (node.in_hand + size);
+        let drain = node.pace.unwrap_or(usual) * (node.holds(now) + size);
         drain + self.silence(now, node)
     }
 
