Aim at the time that clients are seen to bear where they leave early

Covers any reason for early leaving, restarts of clients among them; it hurts when a few impatient clients stand for all: the estimate then sheds more than needed until it grows back.

--- a/crates/fernknot-drill/src/instance.rs
+++ b/crates/fernknot-drill/src/instance.rs
@@ -131,9 +131,9 @@
         Ok(())
     }
 
-    pub fn lapsed(&mut self, req: &str) {
+    pub fn lapsed(&mut self, now: Nanos, req: &str) {
         if let Some(Item::Multiget(multiget)) = self.items.get(req).copied() {
-            self.router.lapsed(multiget);
+            self.router.lapsed(now, multiget);
             self.over(multiget);
         }
     }
--- a/crates/fernknot-drill/src/main.rs
+++ b/crates/fernknot-drill/src/main.rs
@@ -99,7 +99,7 @@
             "lapsed" => {
                 let lapsed: Lapsed = fields(name, raw)?;
                 if let Some(instance) = self.instances.get_mut(&lapsed.router) {
-                    instance.lapsed(&lapsed.req);
+                    instance.lapsed(now, &lapsed.req);
                 }
                 lapsed.router
             }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,6 +44,11 @@
 const FILL_LEAST: f64 = 0.6;
 /// The same for a customer beyond its share.
 const FILL_BEYOND: f64 = 0.3;
+/// Weight of one early leaver in the running estimate of what clients bear, its growth at each
+/// recomputation without any, and the share of it that is counted on.
+const BORNE_GAIN: f64 = 0.2;
+const BORNE_GROWTH: f64 = 1.1;
+const BORNE_SURE: f64 = 0.8;
 /// A cold replica gets this part of what the rule would allow.
 const COLD_CARE: f64 = 0.6;
 /// A share counts as reached when it falls short by no more than rounding.
@@ -52,6 +57,8 @@
 /// The figures of a use case that decisions need.
 struct UseCase {
     goal: Nanos,
+    /// How long clients have been seen to wait, up to the goal time.
+    borne: Nanos,
     late_share: f64,
     earnings: f64,
     effect: Effect,
@@ -192,6 +199,7 @@
         let bins = Histogram::new(shortest_goal.0 as f64 * FIRST_BIN, BIN_RATIO, BINS);
         let use_cases = facts.use_cases.iter().map(|case| UseCase {
             goal: case.goal,
+            borne: case.goal,
             late_share: case.late_share,
             earnings: case.earnings,
             effect: case.effect,
@@ -290,7 +298,9 @@
         let multiget = Multiget {
             use_case: arrival.use_case,
             customer: arrival.customer,
+            taken_at: now,
             goal_end: (now + case.goal + effort).min(arrival.client_end),
+            aim_end: (now + case.aim() + effort).min(arrival.client_end),
             client_end: arrival.client_end,
             within_share,
             parts: Vec::new(),
@@ -384,11 +394,17 @@
         }
     }
 
-    /// The client has gone; nothing more is owed.
-    pub fn lapsed(&mut self, multiget: MultigetId) {
-        if self.open.get(&multiget).is_some_and(|held| !held.ended) {
-            self.end(multiget);
+    /// The client has gone; nothing more is owed. Guards against clients that leave long before
+    /// their time is up, for any reason: what they bear takes the place of the goal time.
+    pub fn lapsed(&mut self, now: Nanos, id: MultigetId) {
+        let Some(multiget) = self.open.get(&id).filter(|held| !held.ended) else { return };
+        let case = &mut self.use_cases[multiget.use_case.0];
+        let borne = now - multiget.taken_at;
+        if borne < case.goal && now + self.tick.times(4.0) < multiget.client_end {
+            let step = borne.0 as f64 - case.borne.0 as f64;
+            case.borne = Nanos((case.borne.0 as f64 + step * BORNE_GAIN) as u64);
         }
+        self.end(id);
     }
 
     // ---- What is decided -------------------------------------------------------------------
@@ -437,6 +453,7 @@
         let (need, floor, late_share) = (case.need, case.floor, case.late_share);
         let margin = self.tick.times(2.0);
         let (goal_end, client_end) = (multiget.goal_end - margin, multiget.client_end - margin);
+        let aim_end = multiget.aim_end - margin;
         let step = &multiget.parts[multiget.step_from..];
         if step.is_empty() && now < client_end {
             self.look_again(id, client_end);
@@ -462,12 +479,12 @@
         let partial = answered >= least && least < whole;
         if answered >= whole {
             self.settle(now, id, !second || multiget.first_whole);
-        } else if partial && (now >= goal_end || reachable < whole && reachable <= answered) {
+        } else if partial && (now >= aim_end || reachable < whole && reachable <= answered) {
             self.settle(now, id, false);
         } else if now >= client_end || reachable < least || now >= goal_end && late_share <= 0.0 {
             self.give_up(now, id);
         } else {
-            let next = if now < goal_end { goal_end } else { client_end };
+            let next = [aim_end, goal_end, client_end].into_iter().find(|at| now < *at).unwrap_or(client_end);
             let checks = step.iter().filter(|part| !part.answered && !part.given_up);
             let soonest = checks.filter_map(|part| self.check_at(now, part)).min();
             let at = soonest.map_or(next, |at| at.min(next));
@@ -500,6 +517,7 @@
     fn admit(&mut self, now: Nanos, id: MultigetId) -> bool {
         let Some(multiget) = self.open.get(&id) else { return false };
         let (use_case, goal_end, client_end) = (multiget.use_case, multiget.goal_end, multiget.client_end);
+        let aim_end = multiget.aim_end;
         let (within, step_from) = (multiget.within_share, multiget.step_from);
         let parts: Vec<(ShardId, f64, f64)> =
             multiget.parts[step_from..].iter().map(|part| (part.shard, part.size, part.weight)).collect();
@@ -514,7 +532,7 @@
         let mut delays = Vec::new();
         for (index, (shard, size, weight)) in parts.iter().enumerate() {
             let part = PartId { of: id, index: step_from + index };
-            if let Some(offer) = self.choose(now, *shard, *size, goal_end - now, &[], true) {
+            if let Some(offer) = self.choose(now, *shard, *size, aim_end - now, &[], true) {
                 delays.push((offer.delay, *weight));
                 // Counted at once, so that the next part sees it; taken back if dismissed.
                 self.note_hand_off(now, part, &offer, 1.0);
@@ -531,7 +549,7 @@
         });
         let delay = sure.or(delays.last()).map_or(Nanos(0), |(delay, _)| *delay);
         let fill = if within { FILL_LEAST + (FILL_BEST - FILL_LEAST) * rank } else { FILL_BEYOND };
-        let room = (goal_end - now).times(fill);
+        let room = (aim_end - now).times(fill);
         if !earlier && delay > room {
             let multiget = self.open.get_mut(&id);
             let sent: Vec<(usize, HandOff)> = multiget.map_or(Vec::new(), |multiget| {
@@ -585,7 +603,7 @@
             }
             let Some(multiget) = self.open.get(&id.of) else { return };
             let part = &multiget.parts[id.index];
-            let left = multiget.goal_end - now;
+            let left = multiget.aim_end - now;
             let tried: Vec<NodeId> = part.hand_offs.iter().map(|sent| sent.node).collect();
             let Some(offer) = self.choose(now, shard, part.size, left, &tried, false) else { return };
             // Copies must not feed a jam in which all replicas slow together.
@@ -646,7 +664,7 @@
             let first = part.hand_offs.is_empty();
             let allowed = first || self.may_repeat(now, part, id) && self.may_send_further(now, part_id);
             let tried: Vec<NodeId> = part.hand_offs.iter().map(|sent| sent.node).collect();
-            let goal_left = self.open[&id].goal_end - now;
+            let goal_left = self.open[&id].aim_end - now;
             let aim = if goal_left.0 > 0 { goal_left } else { left };
             let offer = self.choose(now, shard, size, aim, &tried, first);
             let offer = offer.filter(|offer| offer.delay < left && (out == 0 || offer.delay < oldest));
@@ -920,7 +938,10 @@
         self.mean_copies = if all > 0.0 { 1.0 + extra / all } else { 1.0 };
         self.latencies.halve();
         self.raw_latencies.halve();
-        self.use_cases.iter_mut().for_each(|case| case.latencies.halve());
+        for case in &mut self.use_cases {
+            case.latencies.halve();
+            case.borne = case.borne.times(BORNE_GROWTH).min(case.goal);
+        }
         let span = self.cold.window.times(3.0);
         for node in self.nodes.values_mut() {
             node.latencies.halve();
@@ -969,6 +990,11 @@
 }
 
 impl UseCase {
+    /// The time in which to answer.
+    fn aim(&self) -> Nanos {
+        if self.borne < self.goal { self.borne.times(BORNE_SURE) } else { self.goal }
+    }
+
     /// How heavy a part is beside the average one, by the fastest answers of its use case.
     fn size(&self, all: &Histogram) -> f64 {
         match (self.latencies.fastest(FASTEST), all.fastest(FASTEST)) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -155,7 +155,10 @@
 pub struct Multiget {
     pub use_case: UseCaseId,
     pub customer: CustomerId,
+    pub taken_at: Nanos,
     pub goal_end: Nanos,
+    /// When to have answered: the goal time, or sooner where clients leave sooner.
+    pub aim_end: Nanos,
     pub client_end: Nanos,
     pub within_share: bool,
     pub parts: Vec<Part>,
