Take back a miss when the answer that was awaited still comes

Cause: a hand-off overdue by 2.5 times its expected delay counted as a miss for good, so pauses of a few hundred ms, or one long part, made a replica look broken, and others were overloaded. It hurts where a replica answers late always: that still shows, as late latencies.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -365,10 +365,13 @@
                 node.last_answer = now;
                 node.served.add(now, size);
                 let took = ending.took.0 as f64;
-                if !sent.missed {
-                    node.latencies.add(took / size);
+                // Late is not never: an answer takes back the miss counted while it was awaited.
+                for latencies in [&mut node.latencies, &mut self.latencies] {
+                    if sent.missed {
+                        latencies.take_miss();
+                    }
+                    latencies.add(took / size);
                 }
-                self.latencies.add(took / size);
                 self.raw_latencies.add(took);
                 self.use_cases[multiget.use_case.0].latencies.add(took);
                 let pace = took / sent.ahead;
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,6 +54,10 @@
         self.misses += 1.0;
     }
 
+    pub fn take_miss(&mut self) {
+        self.misses = (self.misses - 1.0).max(0.0);
+    }
+
     pub fn halve(&mut self) {
         self.bins.iter_mut().for_each(|count| *count /= 2.0);
         self.misses /= 2.0;
