--- a/crates/fernknot-drill/src/instance.rs
+++ b/crates/fernknot-drill/src/instance.rs
@@ -123,12 +123,10 @@
         Ok(())
     }
 
-    pub fn status_back(&mut self, now: Nanos, status: StatusBack) -> Result<(), String> {
-        let outcome = outcome(status.how)?;
+    pub fn status_back(&mut self, status: StatusBack) {
         if let Some(node) = self.node_ids.get(&status.node) {
-            self.router.probed(now, *node, outcome, report(&status.load));
+            self.router.reported(*node, report(&status.load));
         }
-        Ok(())
     }
 
     pub fn lapsed(&mut self, now: Nanos, req: &str) {
--- a/crates/fernknot-drill/src/wire.rs
+++ b/crates/fernknot-drill/src/wire.rs
@@ -103,7 +103,6 @@
 pub struct StatusBack {
     pub router: u64,
     pub node: String,
-    pub how: u32,
     #[serde(default)]
     pub load: BTreeMap<String, f64>,
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -51,6 +51,15 @@
 const BORNE_SURE: f64 = 0.8;
 /// A cold replica gets this part of what the rule would allow.
 const COLD_CARE: f64 = 0.6;
+/// What warm replicas bear is measured over so many windows of the cold rule.
+const COLD_SPANS: f64 = 3.0;
+/// A copy goes out only if its expected delay fits into this part of the time left.
+const COPY_ROOM: f64 = 0.5;
+/// Seconds of its share that a customer may use at once.
+const SHARE_SPAN: f64 = 2.0;
+/// Weight of one part in the running means of sizes, and the widest ratio of sizes believed.
+const SIZE_GAIN: f64 = 0.02;
+const WIDEST: f64 = 8.0;
 /// A share counts as reached when it falls short by no more than rounding.
 const ROUNDING: f64 = 0.00005;
 
@@ -68,29 +77,9 @@
     second_step: bool,
     /// Latencies at all replicas, to tell how heavy its parts are beside others.
     latencies: Histogram,
-    /// Mean of the effort told with its parts, if any is.
-    effort: f64,
-    /// Mean work of a whole multiget, in sizes.
-    work: f64,
-}
-
-struct Node {
-    place: PlaceId,
-    health: Health,
-    since: Nanos,
-    /// Latencies over sizes, misses among them.
-    latencies: Histogram,
-    /// Time it takes for each size of work in hand here.
-    pace: Option<f64>,
-    in_hand: f64,
-    /// Sizes called off, and when they would be worked off.
-    called_off: Vec<(Nanos, f64)>,
-    out: BTreeSet<(Nanos, PartId, usize)>,
-    last_answer: Nanos,
-    busy_share: Option<f64>,
-    /// Sizes sent while cold, and sizes answered.
-    sent: SlidingCount,
-    served: SlidingCount,
+    /// Mean size of a part, and of all parts of a multiget.
+    size: RunningMean,
+    work: RunningMean,
 }
 
 /// What a router expects of a part at a node.
@@ -100,16 +89,10 @@
     delay: Nanos,
 }
 
-/// Copies planned for a shard and use case, until the next recomputation.
-struct CopyPlan {
-    copies: usize,
-}
-
 pub struct Router {
     use_cases: Vec<UseCase>,
-    /// Multigets a second for each customer at this router.
-    shares: Vec<f64>,
-    tokens: Vec<(f64, Nanos)>,
+    /// Multigets within each customer's share at this router.
+    shares: Vec<Allowance>,
     tick: Nanos,
     shortest_goal: Nanos,
     cold: ColdFacts,
@@ -120,26 +103,28 @@
     second_copies: bool,
     most_hand_offs: usize,
     longest_wait: Nanos,
-    must_ask: bool,
+    /// When to ask to be told of changes of the list, where that must be asked.
     ask_at: Option<Nanos>,
+    must_ask: bool,
     chance: Mwc,
     nodes: BTreeMap<NodeId, Node>,
     open: BTreeMap<MultigetId, Multiget>,
     /// At all replicas: over sizes, misses among them, and as they were.
     latencies: Histogram,
     raw_latencies: Histogram,
-    effort: f64,
-    pace: Option<f64>,
-    plan: BTreeMap<(ShardId, UseCaseId), CopyPlan>,
-    /// First hand-offs of the running period, for each shard and use case.
+    effort: RunningMean,
+    pace: RunningMean,
+    /// Planned copies, and first hand-offs of the running period.
+    plan: BTreeMap<(ShardId, UseCaseId), usize>,
     sends: BTreeMap<(ShardId, UseCaseId), f64>,
     turns: BTreeMap<ShardId, usize>,
     replan_at: Nanos,
     mean_copies: f64,
+    /// Multigets and parts taken; hand-offs: first ones, planned copies, all past the first.
     taken: SlidingCount,
     first_sends: SlidingCount,
-    further: SlidingCount,
     copies: SlidingCount,
+    further: SlidingCount,
     touched: VecDeque<MultigetId>,
     due: BTreeSet<(Nanos, MultigetId)>,
     wake_at: Option<Nanos>,
@@ -165,33 +150,6 @@
     (target - (1.0 + cv2) / 2.0 * busy / (1.0 - busy) * mean - network).max(0.0)
 }
 
-impl Node {
-    fn new(entry: &NodeEntry, bins: &Histogram) -> Node {
-        Node {
-            place: entry.place,
-            health: entry.health,
-            since: entry.since,
-            latencies: bins.clone(),
-            pace: None,
-            in_hand: 0.0,
-            called_off: Vec::new(),
-            out: BTreeSet::new(),
-            last_answer: Nanos(0),
-            busy_share: None,
-            sent: SlidingCount::default(),
-            served: SlidingCount::default(),
-        }
-    }
-}
-
-impl Node {
-    /// Sizes of work that it has of ours, for all that is known.
-    fn holds(&self, now: Nanos) -> f64 {
-        let called_off = self.called_off.iter().filter(|(until, _)| *until > now);
-        self.in_hand + called_off.map(|(_, size)| size).sum::<f64>()
-    }
-}
-
 impl Router {
     pub fn new(seed: u64, facts: SiteFacts, now: Nanos) -> Router {
         let goals = facts.use_cases.iter().map(|case| case.goal);
@@ -208,35 +166,36 @@
             floor: case.floor,
             second_step: case.second_step,
             latencies: bins.clone(),
-            effort: 0.0,
-            work: 0.0,
+            size: RunningMean::default(),
+            work: RunningMean::default(),
         });
-        let routers = facts.routers.max(1) as f64;
-        let shares: Vec<f64> = facts.customers.iter().map(|rate| rate / routers).collect();
-        let own = BudgetFacts { free: 1.0, share: EXTRA_SHARE, window: RECOMPUTE.times(4.0) };
+        let own_share = |rate: &f64| {
+            let rate = rate / facts.routers.max(1) as f64;
+            Allowance::new(rate, rate.max(1.0) * SHARE_SPAN, now)
+        };
+        let own_budget = BudgetFacts { free: 1.0, share: EXTRA_SHARE, window: RECOMPUTE.times(4.0) };
         Router {
             use_cases: use_cases.collect(),
-            tokens: shares.iter().map(|rate| (*rate, now)).collect(),
-            shares,
+            shares: facts.customers.iter().map(own_share).collect(),
             tick: facts.tick,
             shortest_goal,
             cold: facts.cold,
-            budget: facts.budget.unwrap_or(own),
+            budget: facts.budget.unwrap_or(own_budget),
             places: facts.places.max(1),
             width: facts.width.max(1),
             cancel: facts.cancel,
             second_copies: facts.second_copies,
             most_hand_offs: facts.most_hand_offs as usize,
             longest_wait: facts.longest_wait.unwrap_or_default(),
-            must_ask: facts.must_ask,
             ask_at: facts.must_ask.then_some(now),
+            must_ask: facts.must_ask,
             chance: Mwc::new(seed),
             nodes: BTreeMap::new(),
             open: BTreeMap::new(),
             latencies: bins.clone(),
             raw_latencies: bins,
-            effort: 0.0,
-            pace: None,
+            effort: RunningMean::default(),
+            pace: RunningMean::default(),
             plan: BTreeMap::new(),
             sends: BTreeMap::new(),
             turns: BTreeMap::new(),
@@ -244,8 +203,8 @@
             mean_copies: 1.0,
             taken: SlidingCount::default(),
             first_sends: SlidingCount::default(),
-            further: SlidingCount::default(),
             copies: SlidingCount::default(),
+            further: SlidingCount::default(),
             touched: VecDeque::new(),
             due: BTreeSet::new(),
             wake_at: None,
@@ -261,48 +220,34 @@
         if kind == ListKind::Full {
             self.nodes.values_mut().for_each(|node| node.health = Health::Gone);
         }
-        let bins = Histogram::new(self.first_bin(), BIN_RATIO, BINS);
+        let bins = Histogram::new(self.shortest_goal.0 as f64 * FIRST_BIN, BIN_RATIO, BINS);
         for entry in entries {
             let node = self.nodes.entry(entry.node).or_insert_with(|| Node::new(entry, &bins));
             if node.since != entry.since {
                 node.latencies = bins.clone();
-                node.pace = None;
+                node.pace = RunningMean::default();
             }
-            node.place = entry.place;
-            node.health = entry.health;
-            node.since = entry.since;
+            (node.place, node.health, node.since) = (entry.place, entry.health, entry.since);
         }
     }
 
     /// The list's subscription broke or a call for it failed.
     pub fn list_lost(&mut self, now: Nanos) {
-        if self.must_ask {
-            self.ask_at = Some(now + RECOMPUTE.times(0.25));
-        }
+        self.ask_at = self.must_ask.then_some(now + RECOMPUTE.times(0.25));
     }
 
     pub fn take(&mut self, now: Nanos, arrival: &Arrival) {
         let Some(case) = self.use_cases.get(arrival.use_case.0) else { return };
-        let effort = arrival.effort.unwrap_or_default().times(case.stretch);
-        let within_share = match self.tokens.get_mut(arrival.customer.0) {
-            Some((tokens, since)) => {
-                let rate = self.shares[arrival.customer.0];
-                *tokens = (*tokens + rate * (now - *since).0 as f64 / 1e9).min(rate.max(1.0) * 2.0);
-                *since = now;
-                let within = *tokens >= 1.0;
-                *tokens -= if within { 1.0 } else { 0.0 };
-                within
-            }
-            None => true,
-        };
+        let share = self.shares.get_mut(arrival.customer.0);
+        let stretch = arrival.effort.unwrap_or_default().times(case.stretch);
+        let end = |after: Nanos| (now + after + stretch).min(arrival.client_end);
         let multiget = Multiget {
             use_case: arrival.use_case,
-            customer: arrival.customer,
+            within_share: share.is_none_or(|share| share.draw(now)),
             taken_at: now,
-            goal_end: (now + case.goal + effort).min(arrival.client_end),
-            aim_end: (now + case.aim() + effort).min(arrival.client_end),
+            aim_end: end(if case.borne < case.goal { case.borne.times(BORNE_SURE) } else { case.goal }),
+            until: if case.late_share > 0.0 { arrival.client_end } else { end(case.goal) },
             client_end: arrival.client_end,
-            within_share,
             parts: Vec::new(),
             step_from: 0,
             fresh: true,
@@ -318,17 +263,21 @@
     pub fn take_part(&mut self, now: Nanos, arrival: &PartArrival) {
         let Some(multiget) = self.open.get_mut(&arrival.part.of) else { return };
         let case = &mut self.use_cases[multiget.use_case.0];
-        let size = match arrival.effort {
-            Some(effort) => {
-                let effort = effort.0 as f64;
-                let toward = |mean: f64| if mean > 0.0 { mean + 0.02 * (effort - mean) } else { effort };
-                case.effort = toward(case.effort);
-                self.effort = toward(self.effort);
-                (effort / self.effort).clamp(0.1, 10.0)
+        // How heavy a part is beside the average one: as told, or by the fastest answers of its
+        // use case. Guards against taking heavy parts for a slow replica.
+        let measured = (case.latencies.fastest(FASTEST), self.raw_latencies.fastest(FASTEST));
+        let size = match (arrival.effort, measured) {
+            (Some(effort), _) => {
+                self.effort.add(effort.0 as f64, SIZE_GAIN);
+                effort.0 as f64 / self.effort.get().unwrap_or(1.0).max(1.0)
             }
-            None => case.size(&self.raw_latencies),
+            (None, (Some((own, _)), Some((all, _)))) => own / all,
+            _ => 1.0,
         };
+        let size = size.clamp(1.0 / WIDEST, WIDEST);
+        case.size.add(size, SIZE_GAIN);
         multiget.parts.push(Part {
+            id: arrival.part,
             shard: arrival.shard,
             weight: arrival.weight,
             size,
@@ -337,49 +286,40 @@
             given_up: false,
         });
         self.taken.add(now, 1.0);
-        if multiget.parts.len() == multiget.step_from + 1 {
+        if multiget.step().len() == 1 {
             self.touched.push_back(arrival.part.of);
         }
     }
 
     pub fn ended(&mut self, now: Nanos, ending: &Ending) {
-        if let Some(node) = self.nodes.get_mut(&ending.node) {
-            node.busy_share = ending.report.busy_share.or(node.busy_share);
-        }
+        self.reported(ending.node, ending.report);
         let Some(multiget) = self.open.get_mut(&ending.part.of) else { return };
         let Some(part) = multiget.parts.get_mut(ending.part.index) else { return };
         let Some(sent) = part.hand_offs.get_mut(ending.no.0 as usize) else { return };
-        if sent.outcome.is_some() {
+        if sent.outcome.replace(ending.outcome).is_some() {
             return;
         }
-        sent.outcome = Some(ending.outcome);
         let sent = sent.clone();
         part.answered |= ending.outcome == Outcome::Answered && !part.given_up && !multiget.ended;
-        let size = part.size;
         self.touched.push_back(ending.part.of);
         let Some(node) = self.nodes.get_mut(&sent.node) else { return };
         node.out.remove(&(sent.sent, ending.part, ending.no.0 as usize));
-        node.in_hand = if node.out.is_empty() { 0.0 } else { (node.in_hand - sent.size).max(0.0) };
         match ending.outcome {
             Outcome::Answered => {
-                node.last_answer = now;
-                node.served.add(now, size);
                 let took = ending.took.0 as f64;
+                node.last_answer = now;
+                node.served.add(now, part.size);
                 // Late is not never: an answer takes back the miss counted while it was awaited.
                 for latencies in [&mut node.latencies, &mut self.latencies] {
                     if sent.missed {
                         latencies.take_miss();
                     }
-                    latencies.add(took / size);
+                    latencies.add(took / part.size);
                 }
                 self.raw_latencies.add(took);
                 self.use_cases[multiget.use_case.0].latencies.add(took);
-                let pace = took / sent.ahead;
-                let toward = |mean: &mut Option<f64>| {
-                    *mean = Some(mean.map_or(pace, |mean| mean + PACE_GAIN * (pace - mean)))
-                };
-                toward(&mut node.pace);
-                toward(&mut self.pace);
+                node.pace.add(took / sent.ahead, PACE_GAIN);
+                self.pace.add(took / sent.ahead, PACE_GAIN);
             }
             Outcome::CalledOff | Outcome::NeverSent => {}
             // A replica that fails fast would look quick if only answers were measured.
@@ -391,7 +331,8 @@
         }
     }
 
-    pub fn probed(&mut self, _now: Nanos, node: NodeId, _outcome: Outcome, report: LoadReport) {
+    /// A node's own account of its load, with an outcome or a probe's result.
+    pub fn reported(&mut self, node: NodeId, report: LoadReport) {
         if let Some(node) = self.nodes.get_mut(&node) {
             node.busy_share = report.busy_share.or(node.busy_share);
         }
@@ -404,13 +345,12 @@
         let case = &mut self.use_cases[multiget.use_case.0];
         let borne = now - multiget.taken_at;
         if borne < case.goal && now + self.tick.times(4.0) < multiget.client_end {
-            let step = borne.0 as f64 - case.borne.0 as f64;
-            case.borne = Nanos((case.borne.0 as f64 + step * BORNE_GAIN) as u64);
+            case.borne = case.borne.times(1.0 - BORNE_GAIN) + borne.times(BORNE_GAIN);
         }
         self.end(id);
     }
 
-    // ---- What is decided -------------------------------------------------------------------
+    // ---- What is decided of a multiget -----------------------------------------------------
 
     pub fn next(&mut self, now: Nanos) -> Option<Decision> {
         loop {
@@ -429,69 +369,58 @@
                 self.due.remove(&first);
                 self.touched.push_back(first.1);
             } else {
-                return self.wake(now);
+                let due = self.due.first().map(|(at, _)| *at);
+                let at = due.into_iter().chain(self.ask_at).fold(self.replan_at, Nanos::min);
+                if self.wake_at.is_some_and(|set| set > now && set <= at) {
+                    return None;
+                }
+                self.wake_at = Some(at);
+                return Some(Decision::Wake { after: at - now });
             }
         }
     }
 
-    fn wake(&mut self, now: Nanos) -> Option<Decision> {
-        let mut at = self.due.first().map_or(self.replan_at, |(at, _)| *at).min(self.replan_at);
-        at = self.ask_at.map_or(at, |ask| ask.min(at));
-        if self.wake_at.is_some_and(|set| set > now && set <= at) {
-            return None;
-        }
-        self.wake_at = Some(at);
-        Some(Decision::Wake { after: at - now })
-    }
-
     /// All that is decided of one multiget, in the order in which it matters.
     fn consider(&mut self, now: Nanos, id: MultigetId) {
-        let Some(multiget) = self.open.get(&id).filter(|held| !held.ended) else {
-            if self.open.get(&id).is_some_and(|held| held.parts.iter().all(|part| part.out() == 0)) {
+        let Some(multiget) = self.open.get(&id) else { return };
+        if multiget.ended {
+            if multiget.parts.iter().all(|part| part.out().next().is_none()) {
                 self.open.remove(&id);
             }
             return;
-        };
-        let case = &self.use_cases[multiget.use_case.0];
-        let (need, floor, late_share) = (case.need, case.floor, case.late_share);
-        let margin = self.tick.times(2.0);
-        let (goal_end, client_end) = (multiget.goal_end - margin, multiget.client_end - margin);
-        let aim_end = multiget.aim_end - margin;
-        let step = &multiget.parts[multiget.step_from..];
-        if step.is_empty() && now < client_end {
-            self.look_again(id, client_end);
-            return;
         }
-        if multiget.fresh {
-            if !self.admit(now, id) {
+        if !multiget.step().is_empty() {
+            if multiget.fresh && !self.admit(now, id) {
                 return;
             }
-        } else {
             self.mend(now, id);
         }
         let Some(multiget) = self.open.get(&id) else { return };
-        let step = &multiget.parts[multiget.step_from..];
+        let case = &self.use_cases[multiget.use_case.0];
+        let margin = self.tick.times(2.0);
+        let ends = [multiget.aim_end, multiget.until, multiget.client_end].map(|end| end - margin);
+        let [aim_end, until, client_end] = ends;
         let second = multiget.step_from > 0;
-        let weigh = |keep: &dyn Fn(&Part) -> bool| -> f64 {
-            step.iter().filter(|part| keep(part)).map(|part| part.weight).sum::<f64>() + ROUNDING
+        let whole = if second { 1.0 } else { case.need };
+        let least = if second && case.floor >= case.need { 1.0 } else { case.floor };
+        let weigh = |keep: fn(&Part) -> bool| -> f64 {
+            multiget.step().iter().filter(|part| keep(part)).map(|part| part.weight).sum::<f64>() + ROUNDING
         };
-        let (whole, least) = if second && floor >= need { (1.0, 1.0) } else { (need, floor) };
-        let whole = if second { 1.0 } else { whole };
-        let answered = weigh(&|part| part.answered);
-        let reachable = weigh(&|part| part.answered || !part.given_up);
-        let partial = answered >= least && least < whole;
+        let waits = multiget.step().is_empty();
+        let answered = weigh(|part| part.answered);
+        let reachable = weigh(|part| part.answered || !part.given_up);
         if answered >= whole {
             self.settle(now, id, !second || multiget.first_whole);
-        } else if partial && (now >= aim_end || reachable < whole && reachable <= answered) {
+        } else if answered >= least && (now >= aim_end || reachable <= answered) {
             self.settle(now, id, false);
-        } else if now >= client_end || reachable < least || now >= goal_end && late_share <= 0.0 {
+        } else if now >= client_end || !waits && (reachable < least || now >= until) {
             self.give_up(now, id);
         } else {
-            let next = [aim_end, goal_end, client_end].into_iter().find(|at| now < *at).unwrap_or(client_end);
-            let checks = step.iter().filter(|part| !part.answered && !part.given_up);
-            let soonest = checks.filter_map(|part| self.check_at(now, part)).min();
-            let at = soonest.map_or(next, |at| at.min(next));
-            self.look_again(id, at);
+            // Guards against a final answer that comes too late, whatever else is awaited.
+            let end = ends.into_iter().find(|at| now < *at).unwrap_or(client_end);
+            let pending = multiget.step().iter().filter(|part| !part.answered && !part.given_up);
+            let checks = pending.map(|part| self.check_at(now, part));
+            self.look_again(id, checks.fold(end, Nanos::min));
         }
     }
 
@@ -504,116 +433,80 @@
     }
 
     /// When a part that is not answered must be looked at again.
-    fn check_at(&self, now: Nanos, part: &Part) -> Option<Nanos> {
-        let out = part.hand_offs.iter().filter(|sent| sent.outcome.is_none());
-        match out.map(|sent| sent.sent + self.patience(sent)).min() {
-            Some(at) if at > now => Some(at),
-            _ => Some(now + self.shortest_goal.times(DELAY_STEP)),
-        }
+    fn check_at(&self, now: Nanos, part: &Part) -> Nanos {
+        let overdue = part.out().map(|sent| sent.sent + self.patience(sent)).min();
+        overdue.filter(|at| *at > now).unwrap_or(now + self.shortest_goal.times(DELAY_STEP))
     }
 
     fn patience(&self, sent: &HandOff) -> Nanos {
         sent.expected.times(OVERDUE).max(self.shortest_goal.times(OVERDUE_GOAL))
     }
 
-    /// The first look at a multiget: where its parts would go and how long they would take.
+    /// The first look at a multiget: where its parts would go and how long they would take. What
+    /// cannot be answered in time is dismissed before any part is sent, sooner where it earns
+    /// little for its work or its customer is beyond its share.
     fn admit(&mut self, now: Nanos, id: MultigetId) -> bool {
-        let Some(multiget) = self.open.get(&id) else { return false };
-        let (use_case, goal_end, client_end) = (multiget.use_case, multiget.goal_end, multiget.client_end);
-        let aim_end = multiget.aim_end;
-        let (within, step_from) = (multiget.within_share, multiget.step_from);
-        let parts: Vec<(ShardId, f64, f64)> =
-            multiget.parts[step_from..].iter().map(|part| (part.shard, part.size, part.weight)).collect();
-        let work: f64 = parts.iter().map(|(_, size, _)| size).sum();
-        let case = &mut self.use_cases[use_case.0];
-        case.work = if case.work > 0.0 { case.work + 0.05 * (work - case.work) } else { work };
-        let best = self.use_cases.iter().filter(|case| case.work > 0.0);
-        let best = best.map(|case| case.earnings / case.work).fold(0.0, f64::max);
-        let case = &self.use_cases[use_case.0];
-        let rank = (case.earnings / case.work / best.max(f64::MIN_POSITIVE)).min(1.0);
-        let (least, earlier) = (case.floor, step_from > 0);
-        let mut delays = Vec::new();
-        for (index, (shard, size, weight)) in parts.iter().enumerate() {
-            let part = PartId { of: id, index: step_from + index };
-            if let Some(offer) = self.choose(now, *shard, *size, aim_end - now, &[], true) {
-                delays.push((offer.delay, *weight));
-                // Counted at once, so that the next part sees it; taken back if dismissed.
-                self.note_hand_off(now, part, &offer, 1.0);
-            } else {
-                delays.push((Nanos(u64::MAX / 2), *weight));
+        let Some(multiget) = self.open.get_mut(&id) else { return false };
+        multiget.fresh = false;
+        let (use_case, within, second) = (multiget.use_case, multiget.within_share, multiget.step_from > 0);
+        let left = multiget.aim_end - now;
+        let parts = multiget.step().to_vec();
+        self.use_cases[use_case.0].work.add(parts.iter().map(|part| part.size).sum(), SIZE_GAIN);
+        let mut planned = BTreeMap::new();
+        let mut offers = Vec::new();
+        for part in &parts {
+            let offer = self.choose(now, part, left, &planned);
+            if let Some(offer) = offer {
+                *planned.entry(offer.node).or_insert(0.0) += part.size;
             }
+            offers.push((offer.map_or(Nanos(u64::MAX), |offer| offer.delay), offer, part));
         }
+        offers.sort_by_key(|(delay, _, part)| (*delay, part.id));
+        let case = &self.use_cases[use_case.0];
         // The delay by which enough of the parts would be in for an answer.
-        delays.sort_by_key(|(delay, _)| *delay);
         let mut reached = ROUNDING;
-        let sure = delays.iter().find(|(_, weight)| {
-            reached += weight;
-            reached >= least
+        let enough = offers.iter().find(|(_, _, part)| {
+            reached += part.weight;
+            reached >= case.floor
         });
-        let delay = sure.or(delays.last()).map_or(Nanos(0), |(delay, _)| *delay);
-        let fill = if within { FILL_LEAST + (FILL_BEST - FILL_LEAST) * rank } else { FILL_BEYOND };
-        let room = (aim_end - now).times(fill);
-        if !earlier && delay > room {
-            let multiget = self.open.get_mut(&id);
-            let sent: Vec<(usize, HandOff)> = multiget.map_or(Vec::new(), |multiget| {
-                let parts = multiget.parts.iter_mut().enumerate();
-                parts.flat_map(|(index, part)| part.hand_offs.drain(..).map(move |s| (index, s))).collect()
-            });
-            for (index, sent) in sent {
-                if let Some(node) = self.nodes.get_mut(&sent.node) {
-                    node.out.remove(&(sent.sent, PartId { of: id, index }, 0));
-                    node.in_hand -= sent.size;
-                }
-            }
-            let wait = (delay - room).min(self.longest_wait).max(self.longest_wait.times(0.5));
+        let delay = enough.or(offers.last()).map_or(Nanos(0), |(delay, _, _)| *delay);
+        let yields = |case: &UseCase| case.work.get().map_or(0.0, |work| case.earnings / work);
+        let best = self.use_cases.iter().map(yields).fold(f64::MIN_POSITIVE, f64::max);
+        let fill = FILL_LEAST + (FILL_BEST - FILL_LEAST) * yields(case) / best;
+        let room = left.times(if within { fill } else { FILL_BEYOND });
+        if !second && delay > room {
+            let wait = (delay - room).max(self.longest_wait.times(0.5)).min(self.longest_wait);
             self.ready.push_back(Decision::Dismiss { multiget: id, wait });
             self.end(id);
             return false;
         }
-        let late = self.use_cases[use_case.0].late_share > 0.0;
-        let stop_at = if late { client_end } else { goal_end };
-        let Some(multiget) = self.open.get_mut(&id) else { return false };
-        multiget.fresh = false;
-        let mut sent = Vec::new();
-        for (index, part) in multiget.parts.iter().enumerate().skip(step_from) {
-            if let Some(hand_off) = part.hand_offs.first() {
-                sent.push((PartId { of: id, index }, part.shard, part.size, hand_off.node));
+        for (_, offer, part) in &offers {
+            if let Some(offer) = offer {
+                self.hand_off(now, part.id, offer);
             }
         }
-        for (part, shard, size, node) in sent {
-            self.ready.push_back(Decision::HandOff { part, node, stop_at });
-            self.note_sent(now, node, size);
-            self.first_sends.add(now, 1.0);
-            *self.sends.entry((shard, use_case)).or_insert(0.0) += 1.0;
-            let chance = &mut self.chance;
-            *self.turns.entry(shard).or_insert_with(|| chance.under(1 << 16) as usize) += 1;
-            self.copy(now, part, shard, use_case, stop_at);
-        }
+        offers.retain(|(_, offer, _)| offer.is_some());
+        offers.iter().for_each(|(_, _, part)| self.copy(now, part.id));
         true
     }
 
     /// The planned copies of a part that has just been handed off, as the design has it.
-    fn copy(&mut self, now: Nanos, id: PartId, shard: ShardId, use_case: UseCaseId, stop_at: Nanos) {
-        let planned = self.plan.get(&(shard, use_case)).map_or(1, |plan| plan.copies);
-        let safe = self.use_cases[use_case.0].effect == Effect::Replayable;
-        if planned < 2 || !safe || !self.second_copies {
-            return;
-        }
+    fn copy(&mut self, now: Nanos, id: PartId) {
         let span = RECOMPUTE.times(2.0);
-        for _ in 1..planned {
-            if self.copies.within(now, span) + 1.0 >= COPY_SHARE * self.first_sends.within(now, span) {
-                return;
-            }
-            let Some(multiget) = self.open.get(&id.of) else { return };
-            let part = &multiget.parts[id.index];
+        let Some(use_case) = self.open.get(&id.of).map(|multiget| multiget.use_case) else { return };
+        let shard = self.open[&id.of].parts[id.index].shard;
+        for _ in 1..self.plan.get(&(shard, use_case)).copied().unwrap_or(1) {
+            let cap = COPY_SHARE * self.first_sends.within(now, span);
+            let multiget = &self.open[&id.of];
             let left = multiget.aim_end - now;
-            let tried: Vec<NodeId> = part.hand_offs.iter().map(|sent| sent.node).collect();
-            let Some(offer) = self.choose(now, shard, part.size, left, &tried, false) else { return };
+            let part = &multiget.parts[id.index];
+            let offer = self.choose(now, part, left, &BTreeMap::new());
             // Copies must not feed a jam in which all replicas slow together.
-            if offer.delay > left.times(0.5) || !self.may_send_further(now, id) {
+            let Some(offer) = offer.filter(|offer| offer.delay <= left.times(COPY_ROOM)) else { return };
+            if self.copies.within(now, span) + 1.0 >= cap || !self.may_send_further(now, part) {
                 return;
             }
-            self.hand_off_again(now, id, &offer, stop_at);
+            self.hand_off(now, id, &offer);
             self.copies.add(now, 1.0);
         }
     }
@@ -622,148 +515,112 @@
     /// no replica could be had, and twins of answered parts.
     fn mend(&mut self, now: Nanos, id: MultigetId) {
         let Some(multiget) = self.open.get(&id) else { return };
-        let case = &self.use_cases[multiget.use_case.0];
-        let late = case.late_share > 0.0;
-        let until = if late { multiget.client_end } else { multiget.goal_end };
-        let left = until - now;
-        for index in multiget.step_from..multiget.parts.len() {
-            let part_id = PartId { of: id, index };
-            let part = &self.open[&id].parts[index];
+        let until = multiget.until;
+        let left = if multiget.aim_end > now { multiget.aim_end } else { until } - now;
+        for part in multiget.step().to_vec() {
             if part.answered {
-                self.call_off_rest(part_id);
-                continue;
-            }
-            if part.given_up {
-                continue;
-            }
-            let (shard, size, out) = (part.shard, part.size, part.out());
-            let mut overdue = out > 0;
-            let mut oldest = Nanos(0);
-            for no in 0..part.hand_offs.len() {
-                let sent = &self.open[&id].parts[index].hand_offs[no];
-                if sent.outcome.is_some() {
+                self.call_off(part.id);
+            } else if !part.given_up {
+                self.count_misses(now, &part);
+                let out = part.out().count();
+                let waited = part.out().map(|sent| now - sent.sent).min();
+                let overdue = part.out().all(|sent| now - sent.sent >= self.patience(sent));
+                if out > 0 && !(overdue && out == 1 && self.second_copies) {
                     continue;
                 }
-                let age = now - sent.sent;
-                oldest = oldest.max(age);
-                if age < self.patience(sent) {
-                    overdue = false;
-                } else if !sent.missed {
-                    // A replica that takes parts and answers nothing never shows a latency.
-                    let node = sent.node;
-                    if let Some(node) = self.nodes.get_mut(&node) {
-                        node.latencies.add_miss();
+                // Guards against parts kept by a replica that answers nothing, and against
+                // failures: another replica is tried if it would be quicker, and in time.
+                let offer = self.choose(now, &part, left, &BTreeMap::new()).filter(|offer| {
+                    now + offer.delay < until && waited.is_none_or(|waited| offer.delay < waited)
+                });
+                match offer {
+                    Some(offer) if part.hand_offs.is_empty() || self.may_send_further(now, &part) => {
+                        self.hand_off(now, part.id, &offer);
                     }
-                    self.latencies.add_miss();
-                    if let Some(multiget) = self.open.get_mut(&id) {
-                        multiget.parts[index].hand_offs[no].missed = true;
+                    _ if out == 0 && !part.hand_offs.is_empty() => {
+                        if let Some(multiget) = self.open.get_mut(&id) {
+                            multiget.parts[part.id.index].given_up = true;
+                        }
                     }
+                    _ => {}
                 }
             }
-            if out > 0 && (!overdue || out > 1 || !self.second_copies) {
-                continue;
-            }
-            let part = &self.open[&id].parts[index];
-            let first = part.hand_offs.is_empty();
-            let allowed = first || self.may_repeat(now, part, id) && self.may_send_further(now, part_id);
-            let tried: Vec<NodeId> = part.hand_offs.iter().map(|sent| sent.node).collect();
-            let goal_left = self.open[&id].aim_end - now;
-            let aim = if goal_left.0 > 0 { goal_left } else { left };
-            let offer = self.choose(now, shard, size, aim, &tried, first);
-            let offer = offer.filter(|offer| offer.delay < left && (out == 0 || offer.delay < oldest));
-            match offer {
-                Some(offer) if allowed && first => {
-                    self.note_hand_off(now, part_id, &offer, 1.0);
-                    self.note_sent(now, offer.node, size);
-                    self.first_sends.add(now, 1.0);
-                    let node = offer.node;
-                    self.ready.push_back(Decision::HandOff { part: part_id, node, stop_at: until });
+        }
+    }
+
+    /// A replica that takes parts and answers nothing never shows a latency, so what is overdue
+    /// counts as a miss while it is still out.
+    fn count_misses(&mut self, now: Nanos, part: &Part) {
+        for (no, sent) in part.hand_offs.iter().enumerate() {
+            if sent.outcome.is_none() && !sent.missed && now - sent.sent >= self.patience(sent) {
+                self.latencies.add_miss();
+                if let Some(node) = self.nodes.get_mut(&sent.node) {
+                    node.latencies.add_miss();
                 }
-                Some(offer) if allowed => self.hand_off_again(now, part_id, &offer, until),
-                _ if out == 0 && !first => {
-                    if let Some(multiget) = self.open.get_mut(&id) {
-                        multiget.parts[index].given_up = true;
-                    }
+                if let Some(multiget) = self.open.get_mut(&part.id.of) {
+                    multiget.parts[part.id.index].hand_offs[no].missed = true;
                 }
-                _ => {}
             }
         }
     }
 
-    /// Whether the effect of a part allows another hand-off now.
-    fn may_repeat(&self, now: Nanos, part: &Part, id: MultigetId) -> bool {
-        let Some(multiget) = self.open.get(&id) else { return false };
-        let ran = part.hand_offs.iter().filter(|sent| may_have_run(sent));
-        let first_run = ran.map(|sent| sent.sent).min();
-        match (self.use_cases[multiget.use_case.0].effect, first_run) {
+    /// Whether a part may be handed off again now: by its effect, its limit and the ration.
+    fn may_send_further(&self, now: Nanos, part: &Part) -> bool {
+        let Some(multiget) = self.open.get(&part.id.of) else { return false };
+        let first_run = part.hand_offs.iter().filter(|sent| may_have_run(sent)).map(|sent| sent.sent).min();
+        let allowed = match (self.use_cases[multiget.use_case.0].effect, first_run) {
             (Effect::Replayable, _) | (_, None) => true,
-            (Effect::Referenced(window), Some(first)) => now < first + window - self.tick,
+            (Effect::Referenced(window), Some(first)) => now + self.tick < first + window,
             (Effect::SingleUse, Some(_)) => false,
-        }
-    }
-
-    /// The ration of further hand-offs, and the limit for one part.
-    fn may_send_further(&self, now: Nanos, id: PartId) -> bool {
-        let sends = self.open.get(&id.of).map_or(0, |held| held.parts[id.index].hand_offs.len());
-        if sends >= self.most_hand_offs {
-            return false;
-        }
-        let window = self.budget.window;
+        };
+        let second = part.out().next().is_none() || self.second_copies;
         // Counted a little unkindly at both edges of the window.
-        let taken = self.taken.within(now, window - self.tick);
-        let sent = self.further.within(now, window + self.tick);
-        sent + 1.0 <= self.budget.free + self.budget.share * taken
+        let taken = self.taken.within(now, self.budget.window - self.tick);
+        let sent = self.further.within(now, self.budget.window + self.tick);
+        let rationed = sent + 1.0 > self.budget.free + self.budget.share * taken;
+        allowed && second && !rationed && part.hand_offs.len() < self.most_hand_offs
     }
 
-    fn hand_off_again(&mut self, now: Nanos, part: PartId, offer: &Offer, stop_at: Nanos) {
-        let size = self.open[&part.of].parts[part.index].size;
-        self.note_hand_off(now, part, offer, 1.0);
-        self.note_sent(now, offer.node, size);
-        self.further.add(now, 1.0);
-        self.ready.push_back(Decision::HandOff { part, node: offer.node, stop_at });
-    }
-
-    fn note_hand_off(&mut self, now: Nanos, id: PartId, offer: &Offer, share: f64) {
-        let Some(part) = self.open.get_mut(&id.of).and_then(|held| held.parts.get_mut(id.index)) else {
-            return;
-        };
+    fn hand_off(&mut self, now: Nanos, id: PartId, offer: &Offer) {
+        let Some(multiget) = self.open.get_mut(&id.of) else { return };
+        let (use_case, stop_at) = (multiget.use_case, multiget.until);
+        let part = &mut multiget.parts[id.index];
         let Some(node) = self.nodes.get_mut(&offer.node) else { return };
-        let size = part.size * share;
-        node.out.insert((now, id, part.hand_offs.len()));
-        node.in_hand += size;
         node.called_off.retain(|(until, _)| *until > now);
+        node.out.insert((now, id, part.hand_offs.len()), part.size);
+        node.sent.add(now, part.size);
+        if part.hand_offs.is_empty() {
+            self.first_sends.add(now, 1.0);
+            *self.sends.entry((part.shard, use_case)).or_insert(0.0) += 1.0;
+            let chance = &mut self.chance;
+            *self.turns.entry(part.shard).or_insert_with(|| chance.under(1 << 16) as usize) += 1;
+        } else {
+            self.further.add(now, 1.0);
+        }
         part.hand_offs.push(HandOff {
             node: offer.node,
             sent: now,
             expected: offer.delay,
-            size,
+            size: part.size,
             ahead: node.holds(now),
             outcome: None,
+            called_off: false,
             missed: false,
         });
+        self.ready.push_back(Decision::HandOff { part: id, node: offer.node, stop_at });
     }
 
-    fn note_sent(&mut self, now: Nanos, node: NodeId, size: f64) {
-        let cold = self.is_cold(now, &self.nodes[&node]);
-        let window = self.cold.window;
-        if let Some(node) = self.nodes.get_mut(&node).filter(|_| cold) {
-            node.sent.forget(now, window);
-            node.sent.add(now, size);
-        }
-    }
-
-    fn call_off_rest(&mut self, part: PartId) {
+    fn call_off(&mut self, part: PartId) {
         let Some(multiget) = self.open.get_mut(&part.of).filter(|_| self.cancel) else { return };
         for (no, sent) in multiget.parts[part.index].hand_offs.iter_mut().enumerate() {
-            if sent.outcome.is_none() && sent.size > 0.0 {
+            if sent.outcome.is_none() && !sent.called_off {
+                sent.called_off = true;
                 self.ready.push_back(Decision::CallOff { part, no: HandOffNo(no as u32) });
                 if let Some(node) = self.nodes.get_mut(&sent.node) {
-                    node.in_hand = (node.in_hand - sent.size).max(0.0);
                     node.out.remove(&(sent.sent, part, no));
                     // Guards against taking a replica for idle that goes on with what was called off.
                     node.called_off.push((sent.sent + sent.expected, sent.size));
                 }
-                sent.size = 0.0;
             }
         }
     }
@@ -772,18 +629,14 @@
         let Some(multiget) = self.open.get_mut(&id) else { return };
         let last = !self.use_cases[multiget.use_case.0].second_step || multiget.step_from > 0;
         self.ready.push_back(Decision::Settle { multiget: id, whole, last });
-        if !last {
-            multiget.step_from = multiget.parts.len();
-            multiget.first_whole = whole;
-            multiget.fresh = true;
-            let until = multiget.client_end - self.tick.times(2.0);
-            self.look_again(id, until.max(now + self.tick));
-            for index in 0..self.open[&id].parts.len() {
-                self.call_off_rest(PartId { of: id, index });
-            }
-            return;
+        if last {
+            return self.end(id);
         }
-        self.end(id);
+        let from = multiget.step_from..multiget.parts.len();
+        (multiget.step_from, multiget.first_whole, multiget.fresh) = (from.end, whole, true);
+        let until = multiget.client_end - self.tick.times(2.0);
+        from.for_each(|index| self.call_off(PartId { of: id, index }));
+        self.look_again(id, until.max(now + self.tick));
     }
 
     /// What cannot be answered any more gets its final answer at once. A dismissal tells the
@@ -792,8 +645,7 @@
         let Some(multiget) = self.open.get(&id) else { return };
         let replayable = self.use_cases[multiget.use_case.0].effect == Effect::Replayable;
         let ran = multiget.parts.iter().any(|part| part.hand_offs.iter().any(may_have_run));
-        let timely = now < multiget.client_end;
-        self.ready.push_back(if timely && (replayable || !ran) {
+        self.ready.push_back(if now < multiget.client_end && (replayable || !ran) {
             Decision::Dismiss { multiget: id, wait: self.longest_wait }
         } else {
             Decision::BreakOff { multiget: id }
@@ -805,82 +657,61 @@
         let Some(multiget) = self.open.get_mut(&id) else { return };
         multiget.ended = true;
         self.due.remove(&(multiget.look_at, id));
-        for index in 0..multiget.parts.len() {
-            self.call_off_rest(PartId { of: id, index });
-        }
+        let parts = 0..multiget.parts.len();
+        parts.for_each(|index| self.call_off(PartId { of: id, index }));
         self.touched.push_back(id);
     }
 
     // ---- Where a part goes -----------------------------------------------------------------
 
-    fn first_bin(&self) -> f64 {
-        self.shortest_goal.0 as f64 * FIRST_BIN
-    }
-
-    /// The share of answers that the average replica gives within `target`, over sizes.
-    fn phi_of_all(&self, target: f64) -> f64 {
-        (self.latencies.under(target) + 1.0) / (self.latencies.total() + 1.0)
-    }
-
-    /// The same for one replica; one not yet heard from counts as average.
+    /// The share of a replica's answers within `target`, over sizes; one that has not been heard
+    /// from counts as average.
     fn phi(&self, node: &Node, target: f64) -> f64 {
-        let prior = PRIOR * self.phi_of_all(target);
-        (node.latencies.under(target) + prior) / (node.latencies.total() + PRIOR)
-    }
-
-    /// How long a part of this size would take at a replica, by what it holds of ours.
-    fn delay(&self, now: Nanos, node: &Node, size: f64) -> f64 {
-        let usual = self.pace.unwrap_or(self.shortest_goal.0 as f64 * DELAY_STEP * 2.0);
-        let drain = node.pace.unwrap_or(usual) * (node.holds(now) + size);
-        drain + self.silence(now, node)
-    }
-
-    /// How long a replica has kept its oldest hand-off past what was expected, if it has
-    /// answered nothing else meanwhile.
-    fn silence(&self, now: Nanos, node: &Node) -> f64 {
-        let Some((sent, id, no)) = node.out.first() else { return 0.0 };
-        let held = self.open.get(&id.of).and_then(|multiget| multiget.parts.get(id.index));
-        let Some(hand_off) = held.and_then(|part| part.hand_offs.get(*no)) else { return 0.0 };
-        let overdue = now - *sent - hand_off.expected;
-        overdue.min(now - node.last_answer).0 as f64
+        let average = (self.latencies.under(target) + 1.0) / (self.latencies.total() + 1.0);
+        (node.latencies.under(target) + PRIOR * average) / (node.latencies.total() + PRIOR)
+    }
+
+    /// How long a part would take at a replica, by what it holds of ours, and by how long it has
+    /// kept its oldest hand-off past what was expected if it has answered nothing meanwhile.
+    fn delay(&self, now: Nanos, node: &Node, more: f64) -> f64 {
+        let usual = self.pace.get().unwrap_or(self.shortest_goal.0 as f64 * DELAY_STEP * 2.0);
+        let drain = node.pace.get().unwrap_or(usual) * (node.holds(now) + more);
+        let oldest = node.out.first_key_value().map(|((sent, id, no), _)| {
+            let held = self.open.get(&id.of).map(|multiget| &multiget.parts[id.index].hand_offs[*no]);
+            now - *sent - held.map_or(Nanos(0), |sent| sent.expected)
+        });
+        drain + oldest.map_or(0.0, |overdue| overdue.min(now - node.last_answer).0 as f64)
     }
 
     /// The replica for a part: the highest share of answers within what is left of the goal
-    /// time, cut by the delay that its work in hand adds; equals in turn.
-    fn choose(
-        &self,
-        now: Nanos,
-        shard: ShardId,
-        size: f64,
-        left: Nanos,
-        tried: &[NodeId],
-        first: bool,
-    ) -> Option<Offer> {
-        let holders: Vec<NodeId> = self.holders(shard).collect();
-        let turn = self.turns.get(&shard).copied().unwrap_or(0);
+    /// time, cut by the delay that its work in hand adds to the usual; equals in turn.
+    fn choose(&self, now: Nanos, part: &Part, left: Nanos, planned: &BTreeMap<NodeId, f64>) -> Option<Offer> {
+        let holders: Vec<NodeId> = self.holders(part.shard).collect();
+        let first = part.hand_offs.is_empty();
+        let turn = self.turns.get(&part.shard).filter(|_| first).copied().unwrap_or(0);
         let step = self.shortest_goal.0 as f64 * DELAY_STEP;
         let offers = holders.iter().enumerate().filter_map(|(index, id)| {
             let node = &self.nodes[id];
-            if node.health != Health::Running || tried.contains(id) || !self.cold_room(now, node, size) {
+            let more = part.size + planned.get(id).copied().unwrap_or(0.0);
+            let tried = part.hand_offs.iter().any(|sent| sent.node == *id);
+            // Nothing goes to a replica that drains or is gone, from the moment this is told.
+            if tried || node.health != Health::Running || !self.has_cold_room(now, node, more) {
                 return None;
             }
-            let delay = self.delay(now, node, size);
-            let usual = node.latencies.fastest(1.0).map_or(0.0, |(mean, _)| mean) * size;
+            let delay = self.delay(now, node, more);
+            let usual = node.latencies.fastest(1.0).map_or(0.0, |(mean, _)| mean) * part.size;
             let target = left.0 as f64 - (delay - usual).max(0.0);
-            let phi = self.phi(node, target.max(0.0) / size);
-            let rank = Reverse((phi / PHI_STEP) as u64);
+            let rank = Reverse((self.phi(node, target.max(0.0) / part.size) / PHI_STEP) as u64);
             let order = (index + holders.len() - turn % holders.len()) % holders.len();
-            let key = (rank, (delay / step) as u64, if first { order } else { index });
+            let key = (rank, (delay / step) as u64, order);
             Some((key, Offer { node: *id, delay: Nanos(delay as u64) }))
         });
         offers.min_by_key(|(key, _)| *key).map(|(_, offer)| offer)
     }
 
     fn holders(&self, shard: ShardId) -> impl Iterator<Item = NodeId> + '_ {
-        let held = move |place: PlaceId| {
-            let start = shard.0 % self.places;
-            (place.0 + self.places - start) % self.places < self.width
-        };
+        let first = shard.0 % self.places;
+        let held = move |place: PlaceId| (place.0 + self.places - first) % self.places < self.width;
         self.nodes.iter().filter(move |(_, node)| held(node.place)).map(|(id, _)| *id)
     }
 
@@ -890,25 +721,23 @@
 
     /// A cold replica takes no more than this router's part of the budget. Its capacity is
     /// guessed from what warm replicas answer to this router, which is its share of the whole.
-    fn cold_room(&self, now: Nanos, node: &Node, size: f64) -> bool {
-        if !self.is_cold(now, node) {
-            return true;
-        }
+    /// Where nothing is known of those, it takes one part at a time.
+    fn has_cold_room(&self, now: Nanos, node: &Node, more: f64) -> bool {
         let sent = node.sent.within(now, self.cold.window + self.tick);
-        if sent <= 0.0 {
+        if sent <= 0.0 || !self.is_cold(now, node) {
             return true;
         }
         let grown = (now - node.since).0 as f64 / self.cold.warm_after.0.max(1) as f64;
         let share = (self.cold.from + (1.0 - self.cold.from) * grown).min(1.0);
-        let span = self.cold.window.times(3.0);
-        let warm: Vec<f64> = self
-            .nodes
-            .values()
-            .filter(|other| other.health == Health::Running && !self.is_cold(now, other))
-            .map(|other| other.served.within(now, span) / 3.0)
-            .collect();
-        let capacity = warm.iter().sum::<f64>() / (warm.len().max(1) as f64);
-        sent + size <= COLD_CARE * self.cold.multiple * share * capacity
+        let warm =
+            self.nodes.values().filter(|other| other.health == Health::Running && !self.is_cold(now, other));
+        let served: Vec<f64> = warm.map(|other| other.served.within(now, self.served_span())).collect();
+        let capacity = served.iter().sum::<f64>() / served.len().max(1) as f64 / COLD_SPANS;
+        sent + more <= COLD_CARE * self.cold.multiple * share * capacity
+    }
+
+    fn served_span(&self) -> Nanos {
+        self.cold.window.times(COLD_SPANS)
     }
 
     // ---- How many copies -------------------------------------------------------------------
@@ -935,7 +764,7 @@
                 let more = (copies - 1) as f64 * sent;
                 extra += more.min(left);
                 left -= more;
-                self.plan.insert((shard, use_case), CopyPlan { copies });
+                self.plan.insert((shard, use_case), copies);
             }
         }
         self.mean_copies = if all > 0.0 { 1.0 + extra / all } else { 1.0 };
@@ -945,10 +774,11 @@
             case.latencies.halve();
             case.borne = case.borne.times(BORNE_GROWTH).min(case.goal);
         }
-        let span = self.cold.window.times(3.0);
+        let (span, window) = (self.served_span(), self.cold.window + self.tick);
         for node in self.nodes.values_mut() {
             node.latencies.halve();
             node.served.forget(now, span);
+            node.sent.forget(now, window);
         }
         let longest = self.budget.window.max(RECOMPUTE) + RECOMPUTE;
         for count in [&mut self.first_sends, &mut self.copies, &mut self.further, &mut self.taken] {
@@ -959,7 +789,7 @@
     /// The estimate for one copy, and the least number whose estimate reaches the target.
     fn least_copies(&self, shard: ShardId, use_case: UseCaseId) -> (f64, usize) {
         let case = &self.use_cases[use_case.0];
-        let size = case.size(&self.raw_latencies);
+        let size = case.size.get().unwrap_or(1.0);
         let mut nodes: Vec<&Node> = self.holders(shard).map(|id| &self.nodes[&id]).collect();
         nodes.retain(|node| node.health == Health::Running);
         let goal = case.goal.0 as f64 / size;
@@ -992,23 +822,6 @@
     }
 }
 
-impl UseCase {
-    /// The time in which to answer.
-    fn aim(&self) -> Nanos {
-        if self.borne < self.goal { self.borne.times(BORNE_SURE) } else { self.goal }
-    }
-
-    /// How heavy a part is beside the average one, by the fastest answers of its use case.
-    fn size(&self, all: &Histogram) -> f64 {
-        match (self.latencies.fastest(FASTEST), all.fastest(FASTEST)) {
-            (Some((own, _)), Some((mean, _))) if self.latencies.total() >= 4.0 => {
-                (own / mean).clamp(0.25, 4.0)
-            }
-            _ => 1.0,
-        }
-    }
-}
-
 /// A hand-off that is out, or ended in any way that does not prove otherwise, may have run.
 fn may_have_run(sent: &HandOff) -> bool {
     !matches!(sent.outcome, Some(Outcome::TurnedAway | Outcome::Unreachable | Outcome::NeverSent))
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! Plain containers for what a router knows. Nothing here decides anything.
 
 use crate::interface::*;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Multiply-with-carry.
 #[derive(Clone, Debug)]
@@ -126,6 +126,46 @@
     }
 }
 
+/// A fill of so much a second, up to a limit, from which takings are drawn.
+#[derive(Clone, Debug)]
+pub struct Allowance {
+    pub rate: f64,
+    limit: f64,
+    left: f64,
+    since: Nanos,
+}
+
+impl Allowance {
+    pub fn new(rate: f64, limit: f64, now: Nanos) -> Allowance {
+        Allowance { rate, limit, left: limit, since: now }
+    }
+
+    /// Draws one, if there is one.
+    pub fn draw(&mut self, now: Nanos) -> bool {
+        self.left = (self.left + self.rate * (now - self.since).0 as f64 / 1e9).min(self.limit);
+        self.since = now;
+        let enough = self.left >= 1.0;
+        if enough {
+            self.left -= 1.0;
+        }
+        enough
+    }
+}
+
+/// A mean that gives each new figure the same weight.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RunningMean(Option<f64>);
+
+impl RunningMean {
+    pub fn add(&mut self, value: f64, gain: f64) {
+        self.0 = Some(self.0.map_or(value, |mean| mean + gain * (value - mean)));
+    }
+
+    pub fn get(&self) -> Option<f64> {
+        self.0
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct HandOff {
     pub node: NodeId,
@@ -135,12 +175,14 @@
     /// The work in hand at its node when it was sent, itself included.
     pub ahead: f64,
     pub outcome: Option<Outcome>,
+    pub called_off: bool,
     /// It has been counted as a miss of its node while still out.
     pub missed: bool,
 }
 
 #[derive(Clone, Debug)]
 pub struct Part {
+    pub id: PartId,
     pub shard: ShardId,
     pub weight: f64,
     pub size: f64,
@@ -150,21 +192,21 @@
 }
 
 impl Part {
-    pub fn out(&self) -> usize {
-        self.hand_offs.iter().filter(|sent| sent.outcome.is_none()).count()
+    pub fn out(&self) -> impl Iterator<Item = &HandOff> {
+        self.hand_offs.iter().filter(|sent| sent.outcome.is_none())
     }
 }
 
 #[derive(Clone, Debug)]
 pub struct Multiget {
     pub use_case: UseCaseId,
-    pub customer: CustomerId,
+    pub within_share: bool,
     pub taken_at: Nanos,
-    pub goal_end: Nanos,
     /// When to have answered: the goal time, or sooner where clients leave sooner.
     pub aim_end: Nanos,
+    /// When nothing more can be earned.
+    pub until: Nanos,
     pub client_end: Nanos,
-    pub within_share: bool,
     pub parts: Vec<Part>,
     /// Where the parts of the present step begin.
     pub step_from: usize,
@@ -176,3 +218,53 @@
     /// It has had its final answer; kept only for what is still out.
     pub ended: bool,
 }
+
+impl Multiget {
+    pub fn step(&self) -> &[Part] {
+        &self.parts[self.step_from..]
+    }
+}
+
+/// What is known of a data node.
+#[derive(Clone, Debug)]
+pub struct Node {
+    pub place: PlaceId,
+    pub health: Health,
+    pub since: Nanos,
+    /// Latencies over sizes, misses among them.
+    pub latencies: Histogram,
+    /// Time that a part took for each size of work in hand when it was sent.
+    pub pace: RunningMean,
+    pub out: BTreeMap<(Nanos, PartId, usize), f64>,
+    /// Sizes called off, and when they would be worked off.
+    pub called_off: Vec<(Nanos, f64)>,
+    pub last_answer: Nanos,
+    pub busy_share: Option<f64>,
+    /// Sizes sent, and sizes answered.
+    pub sent: SlidingCount,
+    pub served: SlidingCount,
+}
+
+impl Node {
+    pub fn new(entry: &NodeEntry, bins: &Histogram) -> Node {
+        Node {
+            place: entry.place,
+            health: entry.health,
+            since: entry.since,
+            latencies: bins.clone(),
+            pace: RunningMean::default(),
+            out: BTreeMap::new(),
+            called_off: Vec::new(),
+            last_answer: Nanos(0),
+            busy_share: None,
+            sent: SlidingCount::default(),
+            served: SlidingCount::default(),
+        }
+    }
+
+    /// Sizes of work that it has of ours, for all that is known.
+    pub fn holds(&self, now: Nanos) -> f64 {
+        let called_off = self.called_off.iter().filter(|(until, _)| *until > now);
+        self.out.values().sum::<f64>() + called_off.map(|(_, size)| size).sum::<f64>()
+    }
+}
