Let only admitted multigets draw on their customer's share

Also covers a customer whose clients ask again at once. It hurts where a flood is all admitted: the share then bounds it only as load grows.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -238,12 +238,11 @@
 
     pub fn take(&mut self, now: Nanos, arrival: &Arrival) {
         let Some(case) = self.use_cases.get(arrival.use_case.0) else { return };
-        let share = self.shares.get_mut(arrival.customer.0);
         let stretch = arrival.effort.unwrap_or_default().times(case.stretch);
         let end = |after: Nanos| (now + after + stretch).min(arrival.client_end);
         let multiget = Multiget {
             use_case: arrival.use_case,
-            within_share: share.is_none_or(|share| share.draw(now)),
+            customer: arrival.customer,
             taken_at: now,
             aim_end: end(if case.borne < case.goal { case.borne.times(BORNE_SURE) } else { case.goal }),
             until: if case.late_share > 0.0 { arrival.client_end } else { end(case.goal) },
@@ -448,7 +447,7 @@
     fn admit(&mut self, now: Nanos, id: MultigetId) -> bool {
         let Some(multiget) = self.open.get_mut(&id) else { return false };
         multiget.fresh = false;
-        let (use_case, within, second) = (multiget.use_case, multiget.within_share, multiget.step_from > 0);
+        let (use_case, customer, second) = (multiget.use_case, multiget.customer, multiget.step_from > 0);
         let left = multiget.aim_end - now;
         let parts = multiget.step().to_vec();
         self.use_cases[use_case.0].work.add(parts.iter().map(|part| part.size).sum(), SIZE_GAIN);
@@ -473,7 +472,11 @@
         let yields = |case: &UseCase| case.work.get().map_or(0.0, |work| case.earnings / work);
         let best = self.use_cases.iter().map(yields).fold(f64::MIN_POSITIVE, f64::max);
         let fill = FILL_LEAST + (FILL_BEST - FILL_LEAST) * yields(case) / best;
-        let room = left.times(if within { fill } else { FILL_BEYOND });
+        // What is dismissed draws nothing from its customer's share. Guards against repeats of
+        // what was dismissed passing for a flood.
+        let share = self.shares.get_mut(customer.0).filter(|_| !second);
+        let within = share.is_none_or(|share| delay <= left.times(fill) && share.draw(now));
+        let room = left.times(if within { fill } else { fill.min(FILL_BEYOND) });
         if !second && delay > room {
             let wait = (delay - room).max(self.longest_wait.times(0.5)).min(self.longest_wait);
             self.ready.push_back(Decision::Dismiss { multiget: id, wait });
--- a/src/state.rs
+++ b/src/state.rs
@@ -200,7 +200,7 @@
 #[derive(Clone, Debug)]
 pub struct Multiget {
     pub use_case: UseCaseId,
-    pub within_share: bool,
+    pub customer: CustomerId,
     pub taken_at: Nanos,
     /// When to have answered: the goal time, or sooner where clients leave sooner.
     pub aim_end: Nanos,
