--- a/src/decide.rs
+++ b/src/decide.rs
@@ -60,6 +60,9 @@
 /// Weight of one part in the running means of sizes, and the widest ratio of sizes believed.
 const SIZE_GAIN: f64 = 0.02;
 const WIDEST: f64 = 8.0;
+/// How far hints are believed at first, and the spread of hints at which that weighs as much.
+const HINT_TRUST: f64 = 0.5;
+const HINT_PRIOR: f64 = 0.1;
 /// A share counts as reached when it falls short by no more than rounding.
 const ROUNDING: f64 = 0.00005;
 
@@ -112,7 +115,8 @@
     /// At all replicas: over sizes, misses among them, and as they were.
     latencies: Histogram,
     raw_latencies: Histogram,
-    effort: RunningMean,
+    /// Hints of work against latencies, as logarithms.
+    hints: Trend,
     pace: RunningMean,
     /// Planned copies, and first hand-offs of the running period.
     plan: BTreeMap<(ShardId, UseCaseId), usize>,
@@ -194,7 +198,7 @@
             open: BTreeMap::new(),
             latencies: bins.clone(),
             raw_latencies: bins,
-            effort: RunningMean::default(),
+            hints: Trend::default(),
             pace: RunningMean::default(),
             plan: BTreeMap::new(),
             sends: BTreeMap::new(),
@@ -262,13 +266,15 @@
     pub fn take_part(&mut self, now: Nanos, arrival: &PartArrival) {
         let Some(multiget) = self.open.get_mut(&arrival.part.of) else { return };
         let case = &mut self.use_cases[multiget.use_case.0];
-        // How heavy a part is beside the average one: as told, or by the fastest answers of its
-        // use case. Guards against taking heavy parts for a slow replica.
+        // How heavy a part is beside the average one: by its hint, as far as hints have told
+        // latencies lately, or by the fastest answers of its use case. Guards against taking
+        // heavy parts for a slow replica, and against hints that are rough or untrue.
+        let hint = arrival.effort.map(|effort| (effort.0.max(1) as f64).ln());
         let measured = (case.latencies.fastest(FASTEST), self.raw_latencies.fastest(FASTEST));
-        let size = match (arrival.effort, measured) {
-            (Some(effort), _) => {
-                self.effort.add(effort.0 as f64, SIZE_GAIN);
-                effort.0 as f64 / self.effort.get().unwrap_or(1.0).max(1.0)
+        let size = match (hint, measured) {
+            (Some(hint), _) => {
+                let trust = self.hints.slope(HINT_TRUST, HINT_PRIOR).clamp(0.0, 1.0);
+                (trust * (hint - self.hints.x.get().unwrap_or(hint))).exp()
             }
             (None, (Some((own, _)), Some((all, _)))) => own / all,
             _ => 1.0,
@@ -280,6 +286,7 @@
             shard: arrival.shard,
             weight: arrival.weight,
             size,
+            hint,
             hand_offs: Vec::new(),
             answered: false,
             given_up: false,
@@ -316,6 +323,9 @@
                     latencies.add(took / part.size);
                 }
                 self.raw_latencies.add(took);
+                if let Some(hint) = part.hint {
+                    self.hints.add(hint, took.max(1.0).ln(), SIZE_GAIN);
+                }
                 self.use_cases[multiget.use_case.0].latencies.add(took);
                 node.pace.add(took / sent.ahead, PACE_GAIN);
                 self.pace.add(took / sent.ahead, PACE_GAIN);
--- a/src/state.rs
+++ b/src/state.rs
@@ -166,6 +166,31 @@
     }
 }
 
+/// Running means of two figures, and how the second moves with the first.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trend {
+    pub x: RunningMean,
+    pub y: RunningMean,
+    spread: f64,
+    joint: f64,
+}
+
+impl Trend {
+    pub fn add(&mut self, x: f64, y: f64, gain: f64) {
+        let dx = x - self.x.get().unwrap_or(x);
+        let dy = y - self.y.get().unwrap_or(y);
+        self.x.add(x, gain);
+        self.y.add(y, gain);
+        self.spread += gain * (dx * dx - self.spread);
+        self.joint += gain * (dx * dy - self.joint);
+    }
+
+    /// The slope, with `prior` counted as seen at a spread of `weight`.
+    pub fn slope(&self, prior: f64, weight: f64) -> f64 {
+        (self.joint + prior * weight) / (self.spread + weight)
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct HandOff {
     pub node: NodeId,
@@ -186,6 +211,8 @@
     pub shard: ShardId,
     pub weight: f64,
     pub size: f64,
+    /// Logarithm of the work hinted at.
+    pub hint: Option<f64>,
     pub hand_offs: Vec<HandOff>,
     pub answered: bool,
     pub given_up: bool,
