Tally failures for each replica and use case, beside its latencies

Covers any failure that is quick, of all work or of one kind. It hurts where an error is the client's doing, since then every replica fails that kind and the tally only adds noise.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -115,6 +115,7 @@
     /// At all replicas: over sizes, misses among them, and as they were.
     latencies: Histogram,
     raw_latencies: Histogram,
+    failures: Tally,
     /// Hints of work against latencies, as logarithms.
     hints: Trend,
     pace: RunningMean,
@@ -198,6 +199,7 @@
             open: BTreeMap::new(),
             latencies: bins.clone(),
             raw_latencies: bins,
+            failures: Tally::default(),
             hints: Trend::default(),
             pace: RunningMean::default(),
             plan: BTreeMap::new(),
@@ -228,8 +230,7 @@
         for entry in entries {
             let node = self.nodes.entry(entry.node).or_insert_with(|| Node::new(entry, &bins));
             if node.since != entry.since {
-                node.latencies = bins.clone();
-                node.pace = RunningMean::default();
+                *node = Node { out: std::mem::take(&mut node.out), ..Node::new(entry, &bins) };
             }
             (node.place, node.health, node.since) = (entry.place, entry.health, entry.since);
         }
@@ -310,33 +311,33 @@
         self.touched.push_back(ending.part.of);
         let Some(node) = self.nodes.get_mut(&sent.node) else { return };
         node.out.remove(&(sent.sent, ending.part, ending.no.0 as usize));
-        match ending.outcome {
-            Outcome::Answered => {
-                let took = ending.took.0 as f64;
-                node.last_answer = now;
-                node.served.add(now, part.size);
-                // Late is not never: an answer takes back the miss counted while it was awaited.
-                for latencies in [&mut node.latencies, &mut self.latencies] {
-                    if sent.missed {
-                        latencies.take_miss();
-                    }
-                    latencies.add(took / part.size);
-                }
-                self.raw_latencies.add(took);
-                if let Some(hint) = part.hint {
-                    self.hints.add(hint, took.max(1.0).ln(), SIZE_GAIN);
+        let failed = ending.outcome != Outcome::Answered;
+        if !matches!(ending.outcome, Outcome::CalledOff | Outcome::NeverSent) {
+            // A replica that fails fast would look quick if only answers were measured; one that
+            // fails some kind of work alone would look well if all kinds were counted together.
+            let kind = node.kinds.entry(multiget.use_case).or_default();
+            kind.add(failed);
+            node.failures.add(failed);
+            self.failures.add(failed);
+        }
+        if !failed {
+            let took = ending.took.0 as f64;
+            node.last_answer = now;
+            node.served.add(now, part.size);
+            // Late is not never: an answer takes back the miss counted while it was awaited.
+            for latencies in [&mut node.latencies, &mut self.latencies] {
+                if sent.missed {
+                    latencies.take_miss();
                 }
-                self.use_cases[multiget.use_case.0].latencies.add(took);
-                node.pace.add(took / sent.ahead, PACE_GAIN);
-                self.pace.add(took / sent.ahead, PACE_GAIN);
+                latencies.add(took / part.size);
             }
-            Outcome::CalledOff | Outcome::NeverSent => {}
-            // A replica that fails fast would look quick if only answers were measured.
-            _ if !sent.missed => {
-                node.latencies.add_miss();
-                self.latencies.add_miss();
+            self.raw_latencies.add(took);
+            if let Some(hint) = part.hint {
+                self.hints.add(hint, took.max(1.0).ln(), SIZE_GAIN);
             }
-            _ => {}
+            self.use_cases[multiget.use_case.0].latencies.add(took);
+            node.pace.add(took / sent.ahead, PACE_GAIN);
+            self.pace.add(took / sent.ahead, PACE_GAIN);
         }
     }
 
@@ -679,9 +680,12 @@
 
     /// The share of a replica's answers within `target`, over sizes; one that has not been heard
     /// from counts as average.
-    fn phi(&self, node: &Node, target: f64) -> f64 {
+    fn phi(&self, node: &Node, use_case: UseCaseId, target: f64) -> f64 {
         let average = (self.latencies.under(target) + 1.0) / (self.latencies.total() + 1.0);
-        (node.latencies.under(target) + PRIOR * average) / (node.latencies.total() + PRIOR)
+        let in_time = (node.latencies.under(target) + PRIOR * average) / (node.latencies.total() + PRIOR);
+        let failures = node.failures.share(self.failures.share(0.0, 1.0), PRIOR);
+        let kind = node.kinds.get(&use_case).copied().unwrap_or_default();
+        in_time * (1.0 - kind.share(failures, PRIOR))
     }
 
     /// How long a part would take at a replica, by what it holds of ours, and by how long it has
@@ -699,6 +703,7 @@
     /// The replica for a part: the highest share of answers within what is left of the goal
     /// time, cut by the delay that its work in hand adds to the usual; equals in turn.
     fn choose(&self, now: Nanos, part: &Part, left: Nanos, planned: &BTreeMap<NodeId, f64>) -> Option<Offer> {
+        let use_case = self.open.get(&part.id.of)?.use_case;
         let holders: Vec<NodeId> = self.holders(part.shard).collect();
         let first = part.hand_offs.is_empty();
         let turn = self.turns.get(&part.shard).filter(|_| first).copied().unwrap_or(0);
@@ -714,7 +719,7 @@
             let delay = self.delay(now, node, more);
             let usual = node.latencies.fastest(1.0).map_or(0.0, |(mean, _)| mean) * part.size;
             let target = left.0 as f64 - (delay - usual).max(0.0);
-            let rank = Reverse((self.phi(node, target.max(0.0) / part.size) / PHI_STEP) as u64);
+            let rank = Reverse((self.phi(node, use_case, target.max(0.0) / part.size) / PHI_STEP) as u64);
             let order = (index + holders.len() - turn % holders.len()) % holders.len();
             let key = (rank, (delay / step) as u64, order);
             Some((key, Offer { node: *id, delay: Nanos(delay as u64) }))
@@ -783,6 +788,7 @@
         self.mean_copies = if all > 0.0 { 1.0 + extra / all } else { 1.0 };
         self.latencies.halve();
         self.raw_latencies.halve();
+        self.failures.halve();
         for case in &mut self.use_cases {
             case.latencies.halve();
             case.borne = case.borne.times(BORNE_GROWTH).min(case.goal);
@@ -790,6 +796,8 @@
         let (span, window) = (self.served_span(), self.cold.window + self.tick);
         for node in self.nodes.values_mut() {
             node.latencies.halve();
+            node.failures.halve();
+            node.kinds.values_mut().for_each(Tally::halve);
             node.served.forget(now, span);
             node.sent.forget(now, window);
         }
@@ -806,7 +814,7 @@
         let mut nodes: Vec<&Node> = self.holders(shard).map(|id| &self.nodes[&id]).collect();
         nodes.retain(|node| node.health == Health::Running);
         let goal = case.goal.0 as f64 / size;
-        nodes.sort_by(|one, other| self.phi(other, goal).total_cmp(&self.phi(one, goal)));
+        nodes.sort_by(|one, other| self.phi(other, use_case, goal).total_cmp(&self.phi(one, use_case, goal)));
         let mut alone = 0.0;
         for copies in 1..=nodes.len() {
             let mut phis = Vec::new();
@@ -819,7 +827,7 @@
                 let busy = busy * copies as f64 / self.mean_copies;
                 busiest = busiest.max(busy);
                 let network = self.tick.0 as f64 / size;
-                phis.push(self.phi(node, cut_target(goal, mean, cv2, busy, network)));
+                phis.push(self.phi(node, use_case, cut_target(goal, mean, cv2, busy, network)));
             }
             let level = service_level(&phis);
             if copies == 1 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -166,6 +166,30 @@
     }
 }
 
+/// How many of so many failed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    failed: f64,
+    all: f64,
+}
+
+impl Tally {
+    pub fn add(&mut self, failed: bool) {
+        self.failed += if failed { 1.0 } else { 0.0 };
+        self.all += 1.0;
+    }
+
+    pub fn halve(&mut self) {
+        self.failed /= 2.0;
+        self.all /= 2.0;
+    }
+
+    /// The share that failed, with `prior` counted as seen `weight` times.
+    pub fn share(&self, prior: f64, weight: f64) -> f64 {
+        (self.failed + prior * weight) / (self.all + weight)
+    }
+}
+
 /// Running means of two figures, and how the second moves with the first.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Trend {
@@ -260,6 +284,9 @@
     pub since: Nanos,
     /// Latencies over sizes, misses among them.
     pub latencies: Histogram,
+    /// Failures, all and by use case.
+    pub failures: Tally,
+    pub kinds: BTreeMap<UseCaseId, Tally>,
     /// Time that a part took for each size of work in hand when it was sent.
     pub pace: RunningMean,
     pub out: BTreeMap<(Nanos, PartId, usize), f64>,
@@ -279,6 +306,8 @@
             health: entry.health,
             since: entry.since,
             latencies: bins.clone(),
+            failures: Tally::default(),
+            kinds: BTreeMap::new(),
             pace: RunningMean::default(),
             out: BTreeMap::new(),
             called_off: Vec::new(),
