--- a/src/decide.rs
+++ b/src/decide.rs
@@ -323,6 +323,7 @@
         if !failed {
             let took = ending.took.0 as f64;
             node.last_answer = now;
+            node.answered_to = node.answered_to.max(sent.sent);
             node.served.add(now, part.size);
             // Late is not never: an answer takes back the miss counted while it was awaited.
             for latencies in [&mut node.latencies, &mut self.latencies] {
@@ -570,6 +571,9 @@
                 self.latencies.add_miss();
                 if let Some(node) = self.nodes.get_mut(&sent.node) {
                     node.latencies.add_miss();
+                    if let Some((_, overdue)) = node.out.get_mut(&(sent.sent, part.id, no)) {
+                        *overdue = true;
+                    }
                 }
                 if let Some(multiget) = self.open.get_mut(&part.id.of) {
                     multiget.parts[part.id.index].hand_offs[no].missed = true;
@@ -601,7 +605,7 @@
         let part = &mut multiget.parts[id.index];
         let Some(node) = self.nodes.get_mut(&offer.node) else { return };
         node.called_off.retain(|(until, _)| *until > now);
-        node.out.insert((now, id, part.hand_offs.len()), part.size);
+        node.out.insert((now, id, part.hand_offs.len()), (part.size, false));
         node.sent.add(now, part.size);
         if part.hand_offs.is_empty() {
             self.first_sends.add(now, 1.0);
@@ -693,9 +697,10 @@
     fn delay(&self, now: Nanos, node: &Node, more: f64) -> f64 {
         let usual = self.pace.get().unwrap_or(self.shortest_goal.0 as f64 * DELAY_STEP * 2.0);
         let drain = node.pace.get().unwrap_or(usual) * (node.holds(now) + more);
-        let oldest = node.out.first_key_value().map(|((sent, id, no), _)| {
-            let held = self.open.get(&id.of).map(|multiget| &multiget.parts[id.index].hand_offs[*no]);
-            now - *sent - held.map_or(Nanos(0), |sent| sent.expected)
+        // Guards against parts that are lost one by one: they are no work in hand and no silence.
+        let oldest = node.held().next().map(|((sent, id, no), _)| {
+            let held = self.open.get(&id.of).map(|multiget| &multiget.parts[id.index].hand_offs[no]);
+            now - sent - held.map_or(Nanos(0), |sent| sent.expected)
         });
         drain + oldest.map_or(0.0, |overdue| overdue.min(now - node.last_answer).0 as f64)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -289,7 +289,10 @@
     pub kinds: BTreeMap<UseCaseId, Tally>,
     /// Time that a part took for each size of work in hand when it was sent.
     pub pace: RunningMean,
-    pub out: BTreeMap<(Nanos, PartId, usize), f64>,
+    /// Hand-offs that are out: their sizes, and whether they are overdue.
+    pub out: BTreeMap<(Nanos, PartId, usize), (f64, bool)>,
+    /// When the latest of the hand-offs that it has answered was sent.
+    pub answered_to: Nanos,
     /// Sizes called off, and when they would be worked off.
     pub called_off: Vec<(Nanos, f64)>,
     pub last_answer: Nanos,
@@ -310,6 +313,7 @@
             kinds: BTreeMap::new(),
             pace: RunningMean::default(),
             out: BTreeMap::new(),
+            answered_to: Nanos(0),
             called_off: Vec::new(),
             last_answer: Nanos(0),
             busy_share: None,
@@ -321,6 +325,13 @@
     /// Sizes of work that it has of ours, for all that is known.
     pub fn holds(&self, now: Nanos) -> f64 {
         let called_off = self.called_off.iter().filter(|(until, _)| *until > now);
-        self.out.values().sum::<f64>() + called_off.map(|(_, size)| size).sum::<f64>()
+        self.held().map(|(_, size)| size).sum::<f64>() + called_off.map(|(_, size)| size).sum::<f64>()
+    }
+
+    /// The hand-offs that are out and not lost: one that is overdue and overtaken counts as lost.
+    pub fn held(&self) -> impl Iterator<Item = ((Nanos, PartId, usize), f64)> + '_ {
+        let lost = |sent: Nanos, overdue: bool| overdue && sent < self.answered_to;
+        let held = self.out.iter().filter(move |((sent, _, _), (_, overdue))| !lost(*sent, *overdue));
+        held.map(|(key, (size, _))| (*key, *size))
     }
 }
