--- a/src/decide.rs
+++ b/src/decide.rs
@@ -620,7 +620,7 @@
             sent: now,
             expected: offer.delay,
             size: part.size,
-            ahead: node.holds(now),
+            ahead: node.holds(now, now - self.shortest_goal),
             outcome: None,
             called_off: false,
             missed: false,
@@ -696,9 +696,10 @@
     /// kept its oldest hand-off past what was expected if it has answered nothing meanwhile.
     fn delay(&self, now: Nanos, node: &Node, more: f64) -> f64 {
         let usual = self.pace.get().unwrap_or(self.shortest_goal.0 as f64 * DELAY_STEP * 2.0);
-        let drain = node.pace.get().unwrap_or(usual) * (node.holds(now) + more);
-        // Guards against parts that are lost one by one: they are no work in hand and no silence.
-        let oldest = node.held().next().map(|((sent, id, no), _)| {
+        let drain = node.pace.get().unwrap_or(usual) * (node.holds(now, now - self.shortest_goal) + more);
+        // Guards against parts that are lost one by one: once counted as a miss, such a part is
+        // no silence, and soon no work in hand either.
+        let oldest = node.oldest().map(|(sent, id, no)| {
             let held = self.open.get(&id.of).map(|multiget| &multiget.parts[id.index].hand_offs[no]);
             now - sent - held.map_or(Nanos(0), |sent| sent.expected)
         });
--- a/src/state.rs
+++ b/src/state.rs
@@ -322,16 +322,17 @@
         }
     }
 
-    /// Sizes of work that it has of ours, for all that is known.
-    pub fn holds(&self, now: Nanos) -> f64 {
+    /// Sizes of work that it has of ours, for all that is known. What is overdue counts as lost if
+    /// it was sent before `lost_before`, or before something that has been answered.
+    pub fn holds(&self, now: Nanos, lost_before: Nanos) -> f64 {
+        let lost_before = lost_before.max(self.answered_to);
+        let held = self.out.iter().filter(|((sent, _, _), (_, overdue))| !overdue || *sent >= lost_before);
         let called_off = self.called_off.iter().filter(|(until, _)| *until > now);
-        self.held().map(|(_, size)| size).sum::<f64>() + called_off.map(|(_, size)| size).sum::<f64>()
+        held.map(|(_, (size, _))| size).sum::<f64>() + called_off.map(|(_, size)| size).sum::<f64>()
     }
 
-    /// The hand-offs that are out and not lost: one that is overdue and overtaken counts as lost.
-    pub fn held(&self) -> impl Iterator<Item = ((Nanos, PartId, usize), f64)> + '_ {
-        let lost = |sent: Nanos, overdue: bool| overdue && sent < self.answered_to;
-        let held = self.out.iter().filter(move |((sent, _, _), (_, overdue))| !lost(*sent, *overdue));
-        held.map(|(key, (size, _))| (*key, *size))
+    /// The oldest hand-off that is out and not overdue.
+    pub fn oldest(&self) -> Option<(Nanos, PartId, usize)> {
+        self.out.iter().find(|(_, (_, overdue))| !overdue).map(|(key, _)| *key)
     }
 }
