--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,8 +40,8 @@
 const EXTRA_SHARE: f64 = 0.15;
 /// The share of a goal time that the expected delay of a multiget may fill, for the best
 /// earnings by work, and for the least.
-const FILL_BEST: f64 = 1.0;
-const FILL_LEAST: f64 = 0.75;
+const FILL_BEST: f64 = 0.8;
+const FILL_LEAST: f64 = 0.6;
 /// The same for a customer beyond its share.
 const FILL_BEYOND: f64 = 0.3;
 /// Weight of one early leaver in the running estimate of what clients bear, its growth at each
