--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,7 +8,6 @@
 
 use crate::interface::*;
 use crate::state::*;
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The level that the estimate must reach; the least number of copies that does is taken.
@@ -22,7 +21,7 @@
 /// How often copies are planned anew and measurements halved.
 const RECOMPUTE: Nanos = Nanos(2_000_000_000);
 /// Replicas whose share of answers in time differs by less are equal.
-const PHI_STEP: f64 = 0.05;
+const PHI_STEP: f64 = 0.07;
 /// Bins of a latency histogram: the first ends at this share of the shortest goal time.
 const FIRST_BIN: f64 = 1.0 / 48.0;
 const BIN_RATIO: f64 = 1.5;
@@ -40,8 +39,8 @@
 const EXTRA_SHARE: f64 = 0.15;
 /// The share of a goal time that the expected delay of a multiget may fill, for the best
 /// earnings by work, and for the least.
-const FILL_BEST: f64 = 0.8;
-const FILL_LEAST: f64 = 0.6;
+const FILL_BEST: f64 = 0.65;
+const FILL_LEAST: f64 = 0.5;
 /// The same for a customer beyond its share.
 const FILL_BEYOND: f64 = 0.3;
 /// Weight of one early leaver in the running estimate of what clients bear, its growth at each
@@ -714,7 +713,7 @@
         let first = part.hand_offs.is_empty();
         let turn = self.turns.get(&part.shard).filter(|_| first).copied().unwrap_or(0);
         let step = self.shortest_goal.0 as f64 * DELAY_STEP;
-        let offers = holders.iter().enumerate().filter_map(|(index, id)| {
+        let offer = |(index, id): (usize, &NodeId)| {
             let node = &self.nodes[id];
             let more = part.size + planned.get(id).copied().unwrap_or(0.0);
             let tried = part.hand_offs.iter().any(|sent| sent.node == *id);
@@ -725,12 +724,14 @@
             let delay = self.delay(now, node, more);
             let usual = node.latencies.fastest(1.0).map_or(0.0, |(mean, _)| mean) * part.size;
             let target = left.0 as f64 - (delay - usual).max(0.0);
-            let rank = Reverse((self.phi(node, use_case, target.max(0.0) / part.size) / PHI_STEP) as u64);
+            let phi = self.phi(node, use_case, target.max(0.0) / part.size);
             let order = (index + holders.len() - turn % holders.len()) % holders.len();
-            let key = (rank, (delay / step) as u64, order);
-            Some((key, Offer { node: *id, delay: Nanos(delay as u64) }))
-        });
-        offers.min_by_key(|(key, _)| *key).map(|(_, offer)| offer)
+            Some((phi, ((delay / step) as u64, order), Offer { node: *id, delay: Nanos(delay as u64) }))
+        };
+        let offers: Vec<_> = holders.iter().enumerate().filter_map(offer).collect();
+        let best = offers.iter().map(|(phi, _, _)| *phi).fold(0.0, f64::max);
+        let equal = offers.into_iter().filter(|(phi, _, _)| *phi >= best - PHI_STEP);
+        equal.min_by_key(|(_, key, _)| *key).map(|(_, _, offer)| offer)
     }
 
     fn holders(&self, shard: ShardId) -> impl Iterator<Item = NodeId> + '_ {
