--- a/crates/fernknot-drill/src/instance.rs
+++ b/crates/fernknot-drill/src/instance.rs
@@ -61,14 +61,12 @@
             listed.push(NodeEntry {
                 node: self.node_id(&entry.node),
                 place: PlaceId(entry.cell),
-                zone: ZoneId(entry.campus),
                 health: match entry.health {
                     EntryHealth::Running => Health::Running,
                     EntryHealth::Stopping => Health::Draining,
                     EntryHealth::Deleted => Health::Gone,
                 },
                 since: Nanos::from_millis(entry.since),
-                weight: entry.rating,
             });
         }
         self.router.list(kind, &listed);
@@ -86,7 +84,6 @@
                     customer: CustomerId(order.project),
                     client_end: Nanos::from_millis(order.client_deadline),
                     effort,
-                    repeat: order.retry,
                 },
             );
             self.items.insert(order.req.clone(), Item::Multiget(multiget));
@@ -170,9 +167,6 @@
                     output.push(Action::FinishError { router, req: held.req.clone() });
                     self.over(multiget);
                 }
-                Decision::Probe { node } => {
-                    output.push(Action::Test { router, node: self.nodes[node.0 as usize].clone() });
-                }
                 Decision::FollowList => output.push(Action::StreamChanges { router, full: true }),
                 Decision::Wake { after } => {
                     output.push(Action::Timer { router, after: after.as_millis(), label: 0 });
@@ -225,7 +219,6 @@
     let of = |list: &[f64], index: usize, default: f64| list.get(index).copied().unwrap_or(default);
     let use_case = |(index, class): (usize, &Class)| UseCaseFacts {
         goal: millis(class.on_time),
-        hard: millis(class.deadline),
         earnings: class.worth,
         late_share: class.late_share,
         effect: match class.effect {
@@ -252,7 +245,6 @@
         routers: facts.balancers,
         use_cases: facts.classes.iter().enumerate().map(use_case).collect(),
         customers: facts.accounts.iter().map(|account| account.quota_per_s).collect(),
-        zone: ZoneId(facts.locality),
         tick: millis(facts.tick),
         cold: ColdFacts {
             from: rules.cold_from,
@@ -264,7 +256,6 @@
         places: family.places,
         width: family.width,
         cancel: facts.allowed.cancel,
-        probes: facts.allowed.probes,
         second_copies: facts.allowed.second_copies,
         most_hand_offs: facts.allowed.try_limit,
         longest_wait: facts.allowed.retry_after.then_some(millis(facts.allowed.max_retry_after)),
--- a/crates/fernknot-drill/src/wire.rs
+++ b/crates/fernknot-drill/src/wire.rs
@@ -33,13 +33,9 @@
 pub struct Entry {
     pub node: String,
     pub cell: u32,
-    #[serde(default)]
-    pub campus: u32,
     pub health: EntryHealth,
     #[serde(default)]
     pub since: f64,
-    #[serde(default)]
-    pub rating: f64,
 }
 
 #[derive(Clone, Copy, Deserialize)]
@@ -76,8 +72,6 @@
     pub lane: usize,
     pub range_no: f64,
     pub client_deadline: f64,
-    #[serde(default)]
-    pub retry: bool,
     pub query: u64,
     pub effort: Option<f64>,
     #[serde(default)]
@@ -129,8 +123,6 @@
     pub classes: Vec<Class>,
     pub discovery: String,
     pub family_info: FamilyInfo,
-    #[serde(default)]
-    pub locality: u32,
     pub rules: Rules,
     pub tick: f64,
 }
@@ -150,8 +142,6 @@
     #[serde(default)]
     pub max_retry_after: f64,
     #[serde(default)]
-    pub probes: bool,
-    #[serde(default)]
     pub retry_after: bool,
     #[serde(default)]
     pub second_copies: bool,
@@ -163,7 +153,6 @@
     #[serde(default)]
     pub aim_stretch: f64,
     pub on_time: f64,
-    pub deadline: f64,
     pub effect: ClassEffect,
     #[serde(default)]
     pub late_share: f64,
@@ -219,7 +208,6 @@
     FinishError { router: u64, req: String },
     Bounce { router: u64, req: String, wait: f64 },
     WrapUp { router: u64, req: String, full: bool },
-    Test { router: u64, node: String },
     StreamChanges { router: u64, full: bool },
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,7 +21,7 @@
 /// How often copies are planned anew and measurements halved.
 const RECOMPUTE: Nanos = Nanos(2_000_000_000);
 /// Replicas whose share of answers in time differs by less are equal.
-const PHI_STEP: f64 = 0.07;
+const PHI_STEP: f64 = 0.05;
 /// Bins of a latency histogram: the first ends at this share of the shortest goal time.
 const FIRST_BIN: f64 = 1.0 / 48.0;
 const BIN_RATIO: f64 = 1.5;
@@ -688,7 +688,7 @@
         let in_time = (node.latencies.under(target) + PRIOR * average) / (node.latencies.total() + PRIOR);
         let failures = node.failures.share(self.failures.share(0.0, 1.0), PRIOR);
         let kind = node.kinds.get(&use_case).copied().unwrap_or_default();
-        in_time * (1.0 - kind.share(failures, PRIOR))
+        in_time * (1.0 - kind.share(failures, 1.0))
     }
 
     /// How long a part would take at a replica, by what it holds of ours, and by how long it has
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -49,7 +49,6 @@
     NodeId(u32),
     ShardId(u32),
     PlaceId(u32),
-    ZoneId(u32),
     UseCaseId(usize),
     CustomerId(usize),
     HandOffNo(u32)
@@ -74,7 +73,6 @@
 #[derive(Clone, Debug)]
 pub struct UseCaseFacts {
     pub goal: Nanos,
-    pub hard: Nanos,
     pub earnings: f64,
     pub late_share: f64,
     pub effect: Effect,
@@ -107,14 +105,12 @@
     pub use_cases: Vec<UseCaseFacts>,
     /// For each customer, multigets a second inside its share, over all routers.
     pub customers: Vec<f64>,
-    pub zone: ZoneId,
     pub tick: Nanos,
     pub cold: ColdFacts,
     pub budget: Option<BudgetFacts>,
     pub places: u32,
     pub width: u32,
     pub cancel: bool,
-    pub probes: bool,
     pub second_copies: bool,
     pub most_hand_offs: u32,
     pub longest_wait: Option<Nanos>,
@@ -132,11 +128,9 @@
 pub struct NodeEntry {
     pub node: NodeId,
     pub place: PlaceId,
-    pub zone: ZoneId,
     pub health: Health,
     /// When it last started, if lately.
     pub since: Nanos,
-    pub weight: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -153,7 +147,6 @@
     pub client_end: Nanos,
     /// Expected work of all parts, where the host is told.
     pub effort: Option<Nanos>,
-    pub repeat: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -217,9 +210,6 @@
     BreakOff {
         multiget: MultigetId,
     },
-    Probe {
-        node: NodeId,
-    },
     FollowList,
     Wake {
         after: Nanos,
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,161 @@
+//! A router under test: a small deployment, and calls in milliseconds.
+#![allow(dead_code)]
+
+use fernknot::decide::Router;
+use fernknot::interface::*;
+
+pub const REPLAYABLE: usize = 0;
+pub const REFERENCED: usize = 1;
+pub const SINGLE_USE: usize = 2;
+pub const PARTIAL: usize = 3;
+pub const TWO_STEPS: usize = 4;
+pub const GOAL: f64 = 1000.0;
+pub const HARD: f64 = 3000.0;
+pub const WINDOW: f64 = 600.0;
+
+pub fn ms(millis: f64) -> Nanos {
+    Nanos::from_millis(millis)
+}
+
+/// Three nodes in one place hold every shard; two routers; a tick of 5 ms.
+pub fn facts() -> SiteFacts {
+    let case = |effect, floor, late_share, second_step| UseCaseFacts {
+        goal: ms(GOAL),
+        earnings: 1.0,
+        late_share,
+        effect,
+        stretch: 0.0,
+        need: 1.0,
+        floor,
+        second_step,
+    };
+    SiteFacts {
+        routers: 2,
+        use_cases: vec![
+            case(Effect::Replayable, 1.0, 0.0, false),
+            case(Effect::Referenced(ms(WINDOW)), 1.0, 0.3, false),
+            case(Effect::SingleUse, 1.0, 0.3, false),
+            case(Effect::Replayable, 0.6, 0.1, false),
+            case(Effect::Replayable, 1.0, 0.1, true),
+        ],
+        customers: vec![1000.0],
+        tick: ms(5.0),
+        cold: ColdFacts { from: 0.2, warm_after: ms(10_000.0), multiple: 2.0, window: ms(1000.0) },
+        budget: None,
+        places: 1,
+        width: 1,
+        cancel: true,
+        second_copies: true,
+        most_hand_offs: 3,
+        longest_wait: Some(ms(500.0)),
+        must_ask: false,
+    }
+}
+
+pub fn entry(node: u32, health: Health, since: f64) -> NodeEntry {
+    NodeEntry { node: NodeId(node), place: PlaceId(0), health, since: ms(since) }
+}
+
+pub struct Host {
+    pub router: Router,
+    pub now: f64,
+    next: u64,
+    /// All decisions so far but wakes, with their time.
+    pub log: Vec<(f64, Decision)>,
+}
+
+impl Host {
+    pub fn new(facts: SiteFacts, nodes: u32) -> Host {
+        let now = 1_000_000.0;
+        let mut router = Router::new(7, facts, ms(now));
+        let entries: Vec<NodeEntry> = (0..nodes).map(|node| entry(node, Health::Running, 0.0)).collect();
+        router.list(ListKind::Full, &entries);
+        Host { router, now, next: 0, log: Vec::new() }
+    }
+
+    /// Pulls all decisions; returns the new ones, wakes left out.
+    pub fn pull(&mut self) -> Vec<Decision> {
+        let mut news = Vec::new();
+        while let Some(decision) = self.router.next(ms(self.now)) {
+            if !matches!(decision, Decision::Wake { .. }) {
+                self.log.push((self.now, decision.clone()));
+                news.push(decision);
+            }
+        }
+        news
+    }
+
+    /// Lets time pass in ticks, as a host that wakes the router whenever it asked for it.
+    pub fn pass(&mut self, millis: f64) -> Vec<Decision> {
+        let end = self.now + millis;
+        let mut news = self.pull();
+        while self.now < end {
+            self.now = (self.now + 5.0).min(end);
+            news.extend(self.pull());
+        }
+        news
+    }
+
+    /// Takes a multiget of parts with these weights and pulls.
+    pub fn take(&mut self, use_case: usize, weights: &[f64]) -> MultigetId {
+        let id = MultigetId(self.next);
+        self.next += 1;
+        let arrival = Arrival {
+            multiget: id,
+            use_case: UseCaseId(use_case),
+            customer: CustomerId(0),
+            client_end: ms(self.now + HARD),
+            effort: None,
+        };
+        self.router.take(ms(self.now), &arrival);
+        self.parts(id, 0, weights);
+        id
+    }
+
+    pub fn parts(&mut self, id: MultigetId, from: usize, weights: &[f64]) {
+        for (index, weight) in weights.iter().enumerate() {
+            let part = PartId { of: id, index: from + index };
+            let arrival = PartArrival { part, shard: ShardId(index as u32), weight: *weight, effort: None };
+            self.router.take_part(ms(self.now), &arrival);
+        }
+        self.pull();
+    }
+
+    /// Where each hand-off of a part went.
+    pub fn sends(&self, id: MultigetId, index: usize) -> Vec<NodeId> {
+        let part = PartId { of: id, index };
+        let sends = self.log.iter().filter_map(|(_, decision)| match decision {
+            Decision::HandOff { part: sent, node, .. } if *sent == part => Some(*node),
+            _ => None,
+        });
+        sends.collect()
+    }
+
+    pub fn end(&mut self, id: MultigetId, index: usize, no: u32, outcome: Outcome, took: f64) {
+        let part = PartId { of: id, index };
+        let node = self.sends(id, index)[no as usize];
+        let report = LoadReport::default();
+        let ending = Ending { part, no: HandOffNo(no), node, outcome, took: ms(took), report };
+        self.router.ended(ms(self.now), &ending);
+    }
+
+    /// The final answers given to a multiget.
+    pub fn finals(&self, id: MultigetId) -> Vec<Decision> {
+        let given = self.log.iter().map(|(_, decision)| decision).filter(|decision| match decision {
+            Decision::Settle { multiget, last, .. } => *last && *multiget == id,
+            Decision::Dismiss { multiget, .. } | Decision::BreakOff { multiget } => *multiget == id,
+            _ => false,
+        });
+        given.cloned().collect()
+    }
+
+    /// Serves one multiget of a part after another, each in `took`, to be measured by.
+    pub fn warm_up(&mut self, use_case: usize, multigets: usize, took: f64) {
+        for _ in 0..multigets {
+            let id = self.take(use_case, &[1.0]);
+            self.pass(took);
+            self.end(id, 0, 0, Outcome::Answered, took);
+            self.pull();
+        }
+    }
+}
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,186 @@
+//! One small case for each failure that measuring or an incident has shown.
+
+mod common;
+
+use common::*;
+use fernknot::interface::*;
+use fernknot::state::{Histogram, Mwc, Node, SlidingCount, Trend};
+use test_case::test_case;
+
+fn first_sends(host: &mut Host, use_case: usize, count: usize) -> Vec<NodeId> {
+    let ids: Vec<MultigetId> = (0..count).map(|_| host.take(use_case, &[1.0])).collect();
+    ids.iter().flat_map(|id| host.sends(*id, 0)).collect()
+}
+
+#[test]
+fn equals_take_turns() {
+    let mut host = Host::new(facts(), 3);
+    let mut nodes = first_sends(&mut host, REPLAYABLE, 3);
+    nodes.sort();
+    assert_eq!(nodes, [NodeId(0), NodeId(1), NodeId(2)]);
+}
+
+#[test]
+fn same_events_same_decisions() {
+    let run = || {
+        let mut host = Host::new(facts(), 3);
+        host.warm_up(PARTIAL, 30, 40.0);
+        host.take(REPLAYABLE, &[0.5, 0.5]);
+        host.pass(2000.0);
+        host.log
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn a_silent_replica_is_left_for_the_others() {
+    let mut host = Host::new(facts(), 3);
+    host.warm_up(REPLAYABLE, 12, 50.0);
+    let stuck = host.take(REPLAYABLE, &[1.0]);
+    let silent = host.sends(stuck, 0)[0];
+    host.pass(600.0);
+    let rescue = host.sends(stuck, 0);
+    assert!(rescue.len() == 2 && rescue[1] != silent, "the part itself goes to another replica");
+    assert!(!first_sends(&mut host, REPLAYABLE, 6).contains(&silent));
+}
+
+#[test]
+fn a_replica_that_fails_one_use_case_keeps_the_others() {
+    let mut host = Host::new(facts(), 2);
+    host.warm_up(REFERENCED, 20, 20.0);
+    let mut sends = [0, 0];
+    for _ in 0..40 {
+        let id = host.take(PARTIAL, &[1.0]);
+        let node = host.sends(id, 0)[0];
+        host.pass(20.0);
+        let failed = node == NodeId(0);
+        host.end(id, 0, 0, if failed { Outcome::Error } else { Outcome::Answered }, 20.0);
+        host.pull();
+        if failed && host.sends(id, 0).len() > 1 {
+            host.end(id, 0, 1, Outcome::Answered, 20.0);
+            host.pull();
+        }
+        sends[0] += usize::from(failed);
+        for _ in 0..2 {
+            let other = host.take(REFERENCED, &[1.0]);
+            sends[1] += usize::from(host.sends(other, 0)[0] == NodeId(0));
+            host.pass(20.0);
+            host.end(other, 0, 0, Outcome::Answered, 20.0);
+            host.pull();
+        }
+    }
+    assert!(sends[0] <= 6, "{} parts of the failing use case", sends[0]);
+    assert!(sends[1] >= 2 * sends[0], "{} parts of the other", sends[1]);
+}
+
+#[test]
+fn a_late_answer_takes_back_its_miss() {
+    let mut latencies = Histogram::new(10.0, 1.5, 14);
+    latencies.add_miss();
+    latencies.take_miss();
+    latencies.add(100.0);
+    assert_eq!((latencies.total(), latencies.under(200.0)), (1.0, 1.0));
+}
+
+#[test]
+fn overload_is_dismissed_at_once_with_advice_when_to_return() {
+    let mut host = Host::new(facts(), 2);
+    host.warm_up(REPLAYABLE, 20, 200.0);
+    let ids: Vec<MultigetId> = (0..30).map(|_| host.take(REPLAYABLE, &[1.0])).collect();
+    let dismissed = ids.iter().filter(|id| !host.finals(**id).is_empty());
+    let dismissed: Vec<&MultigetId> = dismissed.collect();
+    assert!(dismissed.len() >= 20, "{} of 30", dismissed.len());
+    for id in dismissed {
+        assert!(matches!(host.finals(*id)[..], [Decision::Dismiss { wait, .. }] if wait.0 > 0));
+        assert!(host.sends(*id, 0).is_empty(), "before any part is sent");
+    }
+}
+
+#[test_case(1000.0, 5; "within its share")]
+#[test_case(0.0, 3; "beyond its share: a smaller queue")]
+fn a_customer_beyond_its_share_goes_first(quota: f64, least: usize) {
+    let mut given = facts();
+    given.customers = vec![quota];
+    let mut host = Host::new(given, 2);
+    host.warm_up(REPLAYABLE, 20, 100.0);
+    let within = first_sends(&mut host, REPLAYABLE, 40).len();
+    assert!(within >= least && (quota > 0.0 || within <= 6), "{within} taken on");
+}
+
+#[test]
+fn dismissed_repeats_draw_nothing_from_the_share() {
+    let mut given = facts();
+    given.customers = vec![6.0];
+    let mut host = Host::new(given, 1);
+    host.warm_up(REPLAYABLE, 1, 100.0);
+    host.router.list(ListKind::Full, &[]);
+    for _ in 0..20 {
+        host.take(REPLAYABLE, &[1.0]);
+    }
+    host.router.list(ListKind::Full, &[entry(0, Health::Running, 0.0)]);
+    assert_eq!(first_sends(&mut host, REPLAYABLE, 4).len(), 4);
+}
+
+#[test]
+fn where_clients_leave_early_answers_come_earlier() {
+    let mut host = Host::new(facts(), 3);
+    for _ in 0..12 {
+        let id = host.take(PARTIAL, &[0.6, 0.4]);
+        host.pass(400.0);
+        host.router.lapsed(ms(host.now), id);
+        host.pull();
+    }
+    let id = host.take(PARTIAL, &[0.6, 0.4]);
+    host.end(id, 0, 0, Outcome::Answered, 50.0);
+    host.pass(600.0);
+    let partial = Decision::Settle { multiget: id, whole: false, last: true };
+    assert_eq!(host.finals(id), [partial]);
+}
+
+#[test]
+fn work_called_off_is_held_until_its_expected_end() {
+    let bins = Histogram::new(10.0, 1.5, 14);
+    let mut node = Node::new(&entry(0, Health::Running, 0.0), &bins);
+    node.called_off.push((ms(100.0), 2.0));
+    assert_eq!(node.holds(ms(50.0), Nanos(0)), 2.0);
+    assert_eq!(node.holds(ms(100.0), Nanos(0)), 0.0);
+}
+
+#[test_case(false, 0.0, 1.0; "not overdue")]
+#[test_case(true, 0.0, 1.0; "overdue, but the latest heard of")]
+#[test_case(true, 80.0, 0.0; "overdue and overtaken")]
+fn lost_parts_are_no_work_in_hand(overdue: bool, answered_to: f64, held: f64) {
+    let bins = Histogram::new(10.0, 1.5, 14);
+    let mut node = Node::new(&entry(0, Health::Running, 0.0), &bins);
+    let part = PartId { of: MultigetId(0), index: 0 };
+    node.out.insert((ms(50.0), part, 0), (1.0, overdue));
+    node.answered_to = ms(answered_to);
+    assert_eq!(node.holds(ms(100.0), ms(10.0)), held);
+    assert_eq!(node.oldest().is_some(), !overdue);
+}
+
+#[test_case(1.0, 1.0; "latency follows the hint")]
+#[test_case(0.0, 0.1; "latency ignores the hint")]
+fn hints_count_as_far_as_latencies_follow(power: f64, slope: f64) {
+    let mut hints = Trend::default();
+    for round in 0..400 {
+        let hint = f64::from(round % 7) / 3.0;
+        hints.add(hint, power * hint, 0.02);
+    }
+    assert!((hints.slope(0.5, 0.1) - slope).abs() < 0.1);
+}
+
+#[test]
+fn sliding_count_drops_what_is_a_span_old() {
+    let mut count = SlidingCount::default();
+    count.add(ms(0.0), 1.0);
+    count.add(ms(10.0), 1.0);
+    assert_eq!((count.within(ms(99.0), ms(100.0)), count.within(ms(100.0), ms(100.0))), (2.0, 1.0));
+}
+
+#[test]
+fn chance_stays_under_its_bound_and_moves() {
+    let mut chance = Mwc::new(0);
+    let drawn: Vec<u32> = (0..64).map(|_| chance.under(10)).collect();
+    assert!(drawn.iter().all(|value| *value < 10) && drawn.iter().any(|value| *value != drawn[0]));
+}
