--- a/src/decide.rs
+++ b/src/decide.rs
@@ -688,7 +688,7 @@
         let in_time = (node.latencies.under(target) + PRIOR * average) / (node.latencies.total() + PRIOR);
         let failures = node.failures.share(self.failures.share(0.0, 1.0), PRIOR);
         let kind = node.kinds.get(&use_case).copied().unwrap_or_default();
-        in_time * (1.0 - kind.share(failures, 1.0))
+        in_time * (1.0 - kind.share(failures, PRIOR))
     }
 
     /// How long a part would take at a replica, by what it holds of ours, and by how long it has
