--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The level that the estimate must reach; the least number of copies that does is taken.
-const TARGET: f64 = 0.99;
+const TARGET: f64 = 0.95;
 /// No number of copies is taken that would keep its replicas this busy.
 const BUSIEST: f64 = 0.9;
 /// Extra copies stay under this share of the parts.
