--- a/src/decide.rs
+++ b/src/decide.rs
@@ -49,7 +49,7 @@
 const BORNE_GROWTH: f64 = 1.1;
 const BORNE_SURE: f64 = 0.8;
 /// A cold replica gets this part of what the rule would allow.
-const COLD_CARE: f64 = 0.6;
+const COLD_CARE: f64 = 0.8;
 /// What warm replicas bear is measured over so many windows of the cold rule.
 const COLD_SPANS: f64 = 3.0;
 /// A copy goes out only if its expected delay fits into this part of the time left.
