--- a/src/decide.rs
+++ b/src/decide.rs
@@ -494,6 +494,15 @@
             self.end(id);
             return false;
         }
+        // Parts that an answer can do without are not asked of replicas that would be late with
+        // them. Guards the last replica of a shard against work that others need more.
+        offers.retain(|(delay, _, part)| {
+            let asked = *delay <= left;
+            if let Some(multiget) = self.open.get_mut(&id).filter(|_| !asked && !second) {
+                multiget.parts[part.id.index].given_up = true;
+            }
+            asked || second
+        });
         for (_, offer, part) in &offers {
             if let Some(offer) = offer {
                 self.hand_off(now, part.id, offer);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -121,6 +121,21 @@
     assert_eq!(first_sends(&mut host, REPLAYABLE, 4).len(), 4);
 }
 
+#[test_case(0, 2; "idle: both parts are asked for")]
+#[test_case(40, 1; "jammed: the part that can be done without is not")]
+fn parts_not_needed_spare_a_jammed_replica(jam: usize, asked: usize) {
+    let mut given = facts();
+    given.places = 2;
+    given.use_cases[REFERENCED].goal = ms(HARD);
+    let mut host = Host::new(given, 2);
+    let other = NodeEntry { place: PlaceId(1), ..entry(1, Health::Running, 0.0) };
+    host.router.list(ListKind::Changes, &[other]);
+    host.warm_up(REFERENCED, 20, 100.0);
+    first_sends(&mut host, REFERENCED, jam);
+    let id = host.take(PARTIAL, &[0.4, 0.6]);
+    assert_eq!(host.sends(id, 0).len() + host.sends(id, 1).len(), asked);
+}
+
 #[test]
 fn where_clients_leave_early_answers_come_earlier() {
     let mut host = Host::new(facts(), 3);
