--- a/src/decide.rs
+++ b/src/decide.rs
@@ -704,7 +704,9 @@
     /// kept its oldest hand-off past what was expected if it has answered nothing meanwhile.
     fn delay(&self, now: Nanos, node: &Node, more: f64) -> f64 {
         let usual = self.pace.get().unwrap_or(self.shortest_goal.0 as f64 * DELAY_STEP * 2.0);
-        let drain = node.pace.get().unwrap_or(usual) * (node.holds(now, now - self.shortest_goal) + more);
+        // Guards a replica that has just started against the work of one that is warm.
+        let unheard = usual / self.warmth(now, node);
+        let drain = node.pace.get().unwrap_or(unheard) * (node.holds(now, now - self.shortest_goal) + more);
         // Guards against parts that are lost one by one: once counted as a miss, such a part is
         // no silence, and soon no work in hand either.
         let oldest = node.oldest().map(|(sent, id, no)| {
@@ -753,6 +755,12 @@
         node.since.0 > 0 && now - node.since < self.cold.warm_after + self.cold.window
     }
 
+    /// The share of its capacity that a replica has at least.
+    fn warmth(&self, now: Nanos, node: &Node) -> f64 {
+        let grown = (now - node.since).0 as f64 / self.cold.warm_after.0.max(1) as f64;
+        if node.since.0 > 0 { (self.cold.from + (1.0 - self.cold.from) * grown).min(1.0) } else { 1.0 }
+    }
+
     /// A cold replica takes no more than this router's part of the budget. Its capacity is
     /// guessed from what warm replicas answer to this router, which is its share of the whole.
     /// Where nothing is known of those, it takes one part at a time.
@@ -761,13 +769,11 @@
         if sent <= 0.0 || !self.is_cold(now, node) {
             return true;
         }
-        let grown = (now - node.since).0 as f64 / self.cold.warm_after.0.max(1) as f64;
-        let share = (self.cold.from + (1.0 - self.cold.from) * grown).min(1.0);
         let warm =
             self.nodes.values().filter(|other| other.health == Health::Running && !self.is_cold(now, other));
         let served: Vec<f64> = warm.map(|other| other.served.within(now, self.served_span())).collect();
         let capacity = served.iter().sum::<f64>() / served.len().max(1) as f64 / COLD_SPANS;
-        sent + more <= COLD_CARE * self.cold.multiple * share * capacity
+        sent + more <= COLD_CARE * self.cold.multiple * self.warmth(now, node) * capacity
     }
 
     fn served_span(&self) -> Nanos {
