--- a/src/decide.rs
+++ b/src/decide.rs
@@ -62,6 +62,8 @@
 /// How far hints are believed at first, and the spread of hints at which that weighs as much.
 const HINT_TRUST: f64 = 0.5;
 const HINT_PRIOR: f64 = 0.1;
+/// How long before an end the last answer is given, in ticks of the host.
+const END_TICKS: f64 = 4.0;
 /// A share counts as reached when it falls short by no more than rounding.
 const ROUNDING: f64 = 0.00005;
 
@@ -407,8 +409,10 @@
         }
         let Some(multiget) = self.open.get(&id) else { return };
         let case = &self.use_cases[multiget.use_case.0];
-        let margin = self.tick.times(2.0);
-        let ends = [multiget.aim_end, multiget.until, multiget.client_end].map(|end| end - margin);
+        // An answer has to reach the client, which asked up to a tick before it was heard, and the
+        // host looks only once a tick. Guards against partial answers a moment too late.
+        let ends = [multiget.aim_end, multiget.until, multiget.client_end];
+        let ends = ends.map(|end| end - self.tick.times(END_TICKS));
         let [aim_end, until, client_end] = ends;
         let second = multiget.step_from > 0;
         let whole = if second { 1.0 } else { case.need };
@@ -660,7 +664,7 @@
         }
         let from = multiget.step_from..multiget.parts.len();
         (multiget.step_from, multiget.first_whole, multiget.fresh) = (from.end, whole, true);
-        let until = multiget.client_end - self.tick.times(2.0);
+        let until = multiget.client_end - self.tick.times(END_TICKS);
         from.for_each(|index| self.call_off(PartId { of: id, index }));
         self.look_again(id, until.max(now + self.tick));
     }
