Send a late copy only where the replica has answered nothing since

Cause: in a jam every hand-off becomes overdue, and second copies double the work where cancels stop nothing. Hurts where a replica loses some parts and answers others.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -552,7 +552,8 @@
                 let out = part.out().count();
                 let waited = part.out().map(|sent| now - sent.sent).min();
                 let overdue = part.out().all(|sent| now - sent.sent >= self.patience(sent));
-                if out > 0 && !(overdue && out == 1 && self.second_copies) {
+                let lost = overdue && out == 1 && part.out().all(|sent| self.looks_lost(sent));
+                if out > 0 && !(lost && self.second_copies) {
                     continue;
                 }
                 // Guards against parts kept by a replica that answers nothing, and against
@@ -575,6 +576,13 @@
         }
     }
 
+    /// An overdue hand-off is lost, not merely late, if its replica has answered nothing since or
+    /// something sent later. Guards a jam against being fed with second copies.
+    fn looks_lost(&self, sent: &HandOff) -> bool {
+        let node = self.nodes.get(&sent.node);
+        node.is_none_or(|node| node.last_answer <= sent.sent)
+    }
+
     /// A replica that takes parts and answers nothing never shows a latency, so what is overdue
     /// counts as a miss while it is still out.
     fn count_misses(&mut self, now: Nanos, part: &Part) {
