Send no copies, early or late, just after a dismissal for delay

Cause: copies cost more than they bring in a jam where a cancel stops nothing. This takes the place of the room that copies had to keep to. Hurts where a few dismissals come with hung replicas at light load.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,8 +52,6 @@
 const COLD_CARE: f64 = 0.8;
 /// What warm replicas bear is measured over so many windows of the cold rule.
 const COLD_SPANS: f64 = 3.0;
-/// A copy goes out only if its expected delay fits into this part of the time left.
-const COPY_ROOM: f64 = 0.5;
 /// Seconds of its share that a customer may use at once.
 const SHARE_SPAN: f64 = 2.0;
 /// Weight of one part in the running means of sizes, and the widest ratio of sizes believed.
@@ -131,6 +129,8 @@
     first_sends: SlidingCount,
     copies: SlidingCount,
     further: SlidingCount,
+    /// When a multiget was last dismissed for the delay it would meet.
+    shed_at: Option<Nanos>,
     touched: VecDeque<MultigetId>,
     due: BTreeSet<(Nanos, MultigetId)>,
     wake_at: Option<Nanos>,
@@ -212,6 +212,7 @@
             first_sends: SlidingCount::default(),
             copies: SlidingCount::default(),
             further: SlidingCount::default(),
+            shed_at: None,
             touched: VecDeque::new(),
             due: BTreeSet::new(),
             wake_at: None,
@@ -498,6 +499,7 @@
         if !second && delay > room {
             let wait = (delay - room).max(self.longest_wait.times(0.5)).min(self.longest_wait);
             self.ready.push_back(Decision::Dismiss { multiget: id, wait });
+            self.shed_at = Some(now);
             self.end(id);
             return false;
         }
@@ -531,8 +533,7 @@
             let left = multiget.aim_end - now;
             let part = &multiget.parts[id.index];
             let offer = self.choose(now, part, left, &BTreeMap::new());
-            // Copies must not feed a jam in which all replicas slow together.
-            let Some(offer) = offer.filter(|offer| offer.delay <= left.times(COPY_ROOM)) else { return };
+            let Some(offer) = offer.filter(|_| !self.is_shedding(now)) else { return };
             if self.copies.within(now, span) + 1.0 >= cap || !self.may_send_further(now, part) {
                 return;
             }
@@ -556,7 +557,7 @@
                 let waited = part.out().map(|sent| now - sent.sent).min();
                 let overdue = part.out().all(|sent| now - sent.sent >= self.patience(sent));
                 let lost = overdue && out == 1 && part.out().all(|sent| self.looks_lost(sent));
-                if out > 0 && !(lost && self.second_copies) {
+                if out > 0 && !(lost && self.second_copies && !self.is_shedding(now)) {
                     continue;
                 }
                 // Guards against parts kept by a replica that answers nothing, and against
@@ -579,6 +580,12 @@
         }
     }
 
+    /// Guards a jam, in which all replicas slow together, against being fed with second copies:
+    /// where work was turned away about as lately as it takes to be overdue, there is none to spare.
+    fn is_shedding(&self, now: Nanos) -> bool {
+        self.shed_at.is_some_and(|at| now - at < self.shortest_goal.times(OVERDUE_GOAL))
+    }
+
     /// An overdue hand-off is lost, not merely late, if its replica has answered nothing since or
     /// something sent later. Guards a jam against being fed with second copies.
     fn looks_lost(&self, sent: &HandOff) -> bool {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -121,6 +121,20 @@
     assert_eq!(first_sends(&mut host, REPLAYABLE, 4).len(), 4);
 }
 
+#[test]
+fn no_second_copies_while_work_is_turned_away() {
+    let mut host = Host::new(facts(), 2);
+    host.warm_up(REPLAYABLE, 20, 50.0);
+    let stuck = host.take(REPLAYABLE, &[1.0]);
+    for _ in 0..30 {
+        host.pass(20.0);
+        host.take_for(REPLAYABLE, &[1.0], 30.0);
+    }
+    assert_eq!(host.sends(stuck, 0).len(), 1);
+    host.pass(350.0);
+    assert_eq!(host.sends(stuck, 0).len(), 2);
+}
+
 #[test_case(300.0, 1; "more than a part takes: tried")]
 #[test_case(150.0, 0; "less than a part takes: past hope")]
 fn clients_short_of_time_are_refused_only_past_hope(stays: f64, sends: usize) {
