Send a late copy only where it takes under half of what has been waited

Cause: in slow spells a second copy that is hardly quicker costs more than it brings. Hurts where the replicas left are slow too.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,6 +35,8 @@
 /// A hand-off is overdue after so many times its expected delay, and this share of its goal time.
 const OVERDUE: f64 = 2.5;
 const OVERDUE_GOAL: f64 = 0.3;
+/// A late copy goes out if it takes so many times less than what has been waited already.
+const LATE_GAIN: f64 = 2.0;
 /// Without a budget in the settings, further hand-offs keep to this share of the parts.
 const EXTRA_SHARE: f64 = 0.15;
 /// The share of a goal time that the expected delay of a multiget may fill, for the best
@@ -563,7 +565,8 @@
                 // Guards against parts kept by a replica that answers nothing, and against
                 // failures: another replica is tried if it would be quicker, and in time.
                 let offer = self.choose(now, &part, left, &BTreeMap::new()).filter(|offer| {
-                    now + offer.delay < until && waited.is_none_or(|waited| offer.delay < waited)
+                    now + offer.delay < until
+                        && waited.is_none_or(|waited| offer.delay.times(LATE_GAIN) < waited)
                 });
                 match offer {
                     Some(offer) if part.hand_offs.is_empty() || self.may_send_further(now, &part) => {
