--- a/src/decide.rs
+++ b/src/decide.rs
@@ -796,8 +796,10 @@
         }
         let warm =
             self.nodes.values().filter(|other| other.health == Health::Running && !self.is_cold(now, other));
-        let served: Vec<f64> = warm.map(|other| other.served.within(now, self.served_span())).collect();
-        let capacity = served.iter().sum::<f64>() / served.len().max(1) as f64 / COLD_SPANS;
+        let served = warm.map(|other| other.served.within(now, self.served_span()));
+        // The most that one bears: the mean would sink with all that is dismissed, and hold cold
+        // replicas back just where they are the last of their shard.
+        let capacity = served.fold(0.0, f64::max) / COLD_SPANS;
         sent + more <= COLD_CARE * self.cold.multiple * self.warmth(now, node) * capacity
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -107,6 +107,23 @@
     assert!((least..=most).contains(&cold), "{cold} parts");
 }
 
+#[test]
+fn cold_node_is_measured_by_the_busiest_warm_one() {
+    let mut given = facts();
+    given.places = 2;
+    let mut host = Host::new(given, 2);
+    let idle = |node| NodeEntry { place: PlaceId(1), ..entry(node, Health::Running, 0.0) };
+    host.router.list(ListKind::Changes, &[idle(1), idle(2), idle(3), idle(4)]);
+    host.warm_up(REPLAYABLE, 60, 50.0);
+    // Node 0 has answered 20 parts a second; the last replica of its shard is a node just started.
+    let mut gone = idle(0);
+    gone.place = PlaceId(1);
+    host.router.list(ListKind::Changes, &[gone, entry(5, Health::Running, host.now)]);
+    let ids: Vec<MultigetId> = (0..4).map(|_| host.take(REPLAYABLE, &[1.0])).collect();
+    let sent = ids.iter().filter(|id| host.finals(**id).is_empty()).count();
+    assert!(sent >= 2, "{sent} parts");
+}
+
 #[test]
 fn cold_node_takes_one_part_where_no_capacity_is_known() {
     let mut host = Host::new(facts(), 0);
