--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,7 +44,7 @@
 const FILL_BEST: f64 = 0.65;
 const FILL_LEAST: f64 = 0.5;
 /// The same for a customer beyond its share.
-const FILL_BEYOND: f64 = 0.3;
+const FILL_BEYOND: f64 = 0.4;
 /// Weight of one early leaver in the running estimate of what clients bear, its growth at each
 /// recomputation without any, and the share of it that is counted on.
 const BORNE_GAIN: f64 = 0.2;
