Keep a replica's record until it holds enough answers, not just two seconds

Cause: at full size a router hears of a node about once in ten seconds, and halving every two seconds forgot each slow node before it was met again. Kept: it covers any sparse traffic; it hurts where a node recovers while little is sent to it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,8 +18,11 @@
 const COPY_SHARE: f64 = 0.1;
 /// Service time and its spread are read from this share of the latencies, the fastest ones.
 const FASTEST: f64 = 0.7;
-/// How often copies are planned anew and measurements halved.
+/// How often copies are planned anew and measurements halved; a replica's own are kept until they
+/// hold so many answers, or for so many times as long.
 const RECOMPUTE: Nanos = Nanos(2_000_000_000);
+const ENOUGH: f64 = 6.0;
+const KEPT: f64 = 6.0;
 /// Replicas whose share of answers in time differs by less are equal.
 const PHI_STEP: f64 = 0.05;
 /// Bins of a latency histogram: the first ends at this share of the shortest goal time.
@@ -844,9 +847,14 @@
         }
         let (span, window) = (self.served_span(), self.cold.window + self.tick);
         for node in self.nodes.values_mut() {
-            node.latencies.halve();
-            node.failures.halve();
-            node.kinds.values_mut().for_each(Tally::halve);
+            // Guards a router that hears little of each replica against forgetting a slow or
+            // failing one before it has been seen twice.
+            if node.latencies.total() >= ENOUGH || now - node.halved_at >= RECOMPUTE.times(KEPT) {
+                node.halved_at = now;
+                node.latencies.halve();
+                node.failures.halve();
+                node.kinds.values_mut().for_each(Tally::halve);
+            }
             node.served.forget(now, span);
             node.sent.forget(now, window);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -296,6 +296,8 @@
     /// Sizes called off, and when they would be worked off.
     pub called_off: Vec<(Nanos, f64)>,
     pub last_answer: Nanos,
+    /// When its measurements were last halved.
+    pub halved_at: Nanos,
     pub busy_share: Option<f64>,
     /// Sizes sent, and sizes answered.
     pub sent: SlidingCount,
@@ -316,6 +318,7 @@
             answered_to: Nanos(0),
             called_off: Vec::new(),
             last_answer: Nanos(0),
+            halved_at: Nanos(0),
             busy_share: None,
             sent: SlidingCount::default(),
             served: SlidingCount::default(),
