--- a/src/decide.rs
+++ b/src/decide.rs
@@ -38,8 +38,8 @@
 /// A hand-off is overdue after so many times its expected delay, and this share of its goal time.
 const OVERDUE: f64 = 2.5;
 const OVERDUE_GOAL: f64 = 0.3;
-/// A late copy goes out if it takes so many times less than what has been waited already.
-const LATE_GAIN: f64 = 2.0;
+/// A late copy goes out if it raises the chance of an answer in time by this much.
+const LATE_GAIN: f64 = 0.75;
 /// Without a budget in the settings, further hand-offs keep to this share of the parts.
 const EXTRA_SHARE: f64 = 0.15;
 /// The share of a goal time that the expected delay of a multiget may fill, for the best
@@ -94,6 +94,8 @@
 struct Offer {
     node: NodeId,
     delay: Nanos,
+    /// The chance of an answer in time.
+    phi: f64,
 }
 
 pub struct Router {
@@ -529,17 +531,15 @@
 
     /// The planned copies of a part that has just been handed off, as the design has it.
     fn copy(&mut self, now: Nanos, id: PartId) {
-        let span = RECOMPUTE.times(2.0);
         let Some(use_case) = self.open.get(&id.of).map(|multiget| multiget.use_case) else { return };
         let shard = self.open[&id.of].parts[id.index].shard;
         for _ in 1..self.plan.get(&(shard, use_case)).copied().unwrap_or(1) {
-            let cap = COPY_SHARE * self.first_sends.within(now, span);
             let multiget = &self.open[&id.of];
             let left = multiget.aim_end - now;
             let part = &multiget.parts[id.index];
             let offer = self.choose(now, part, left, &BTreeMap::new());
             let Some(offer) = offer.filter(|_| !self.is_shedding(now)) else { return };
-            if self.copies.within(now, span) + 1.0 >= cap || !self.may_send_further(now, part) {
+            if !self.may_copy(now) || !self.may_send_further(now, part) {
                 return;
             }
             self.hand_off(now, id, &offer);
@@ -547,6 +547,12 @@
         }
     }
 
+    /// Whether one more copy, early or late, stays under the share of parts that copies may be.
+    fn may_copy(&self, now: Nanos) -> bool {
+        let span = RECOMPUTE.times(2.0);
+        self.copies.within(now, span) + 1.0 < COPY_SHARE * self.first_sends.within(now, span)
+    }
+
     /// Looks after the parts that are not answered: overdue and failed hand-offs, parts for which
     /// no replica could be had, and twins of answered parts.
     fn mend(&mut self, now: Nanos, id: MultigetId) {
@@ -559,21 +565,22 @@
             } else if !part.given_up {
                 self.count_misses(now, &part);
                 let out = part.out().count();
-                let waited = part.out().map(|sent| now - sent.sent).min();
                 let overdue = part.out().all(|sent| now - sent.sent >= self.patience(sent));
-                let lost = overdue && out == 1 && part.out().all(|sent| self.looks_lost(sent));
-                if out > 0 && !(lost && self.second_copies && !self.is_shedding(now)) {
+                if out > 0 && !(overdue && out == 1 && self.second_copies && !self.is_shedding(now)) {
                     continue;
                 }
                 // Guards against parts kept by a replica that answers nothing, and against
-                // failures: another replica is tried if it would be quicker, and in time.
+                // failures: another replica is tried if it would be in time, and a second one
+                // beside the first only if that is far likelier to.
+                let missed: f64 = part.out().map(|sent| 1.0 - self.still(now, &part, sent, left)).product();
                 let offer = self.choose(now, &part, left, &BTreeMap::new()).filter(|offer| {
-                    now + offer.delay < until
-                        && waited.is_none_or(|waited| offer.delay.times(LATE_GAIN) < waited)
+                    now + offer.delay < until && (out == 0 || missed * offer.phi >= LATE_GAIN)
                 });
+                let offer = offer.filter(|_| out == 0 || self.may_copy(now));
                 match offer {
                     Some(offer) if part.hand_offs.is_empty() || self.may_send_further(now, &part) => {
                         self.hand_off(now, part.id, &offer);
+                        self.copies.add(now, if out == 0 { 0.0 } else { 1.0 });
                     }
                     _ if out == 0 && !part.hand_offs.is_empty() => {
                         if let Some(multiget) = self.open.get_mut(&id) {
@@ -592,11 +599,20 @@
         self.shed_at.is_some_and(|at| now - at < self.shortest_goal.times(OVERDUE_GOAL))
     }
 
-    /// An overdue hand-off is lost, not merely late, if its replica has answered nothing since or
-    /// something sent later. Guards a jam against being fed with second copies.
-    fn looks_lost(&self, sent: &HandOff) -> bool {
-        let node = self.nodes.get(&sent.node);
-        node.is_none_or(|node| node.last_answer <= sent.sent)
+    /// The chance that a hand-off that is still out is answered within `left`: of the answers that
+    /// took as long, the share that came by then. Guards a jam against being fed with second
+    /// copies, and a router that hears little of a replica against taking what is late for lost.
+    fn still(&self, now: Nanos, part: &Part, sent: &HandOff, left: Nanos) -> f64 {
+        let Some(node) = self.nodes.get(&sent.node) else { return 0.0 };
+        let waited = (now - sent.sent).0 as f64 / part.size;
+        let share = |latencies: &Histogram, weight: f64| {
+            let past = latencies.total() - latencies.under(waited);
+            let by_then = latencies.under(waited + left.0 as f64 / part.size) - latencies.under(waited);
+            (by_then * weight, past * weight)
+        };
+        let (own, all) =
+            (share(&node.latencies, 1.0), share(&self.latencies, PRIOR / (self.latencies.total() + 1.0)));
+        (own.0 + all.0) / (own.1 + all.1).max(ROUNDING)
     }
 
     /// A replica that takes parts and answers nothing never shows a latency, so what is overdue
@@ -765,7 +781,7 @@
             let target = left.0 as f64 - (delay - usual).max(0.0);
             let phi = self.phi(node, use_case, target.max(0.0) / part.size);
             let order = (index + holders.len() - turn % holders.len()) % holders.len();
-            Some((phi, ((delay / step) as u64, order), Offer { node: *id, delay: Nanos(delay as u64) }))
+            Some((phi, ((delay / step) as u64, order), Offer { node: *id, delay: Nanos(delay as u64), phi }))
         };
         let offers: Vec<_> = holders.iter().enumerate().filter_map(offer).collect();
         let best = offers.iter().map(|(phi, _, _)| *phi).fold(0.0, f64::max);
