Tell the other routers each hand-off and how it ended, where messages are allowed

A hand-off is told in two bytes, its end in three. With all messages lost what was told is dropped after a goal time and a router goes by its own.

--- a/crates/fernknot-drill/src/instance.rs
+++ b/crates/fernknot-drill/src/instance.rs
@@ -1,5 +1,6 @@
 //! One instance: a router and the names that the wire has for what it holds.
 
+use crate::peers;
 use crate::wire::*;
 use fernknot::decide::Router;
 use fernknot::interface::*;
@@ -24,6 +25,7 @@
     router: Router,
     nodes: Vec<String>,
     node_ids: HashMap<String, NodeId>,
+    tags: peers::Tags,
     items: HashMap<String, Item>,
     held: HashMap<MultigetId, Held>,
 }
@@ -35,6 +37,7 @@
             router: Router::new(start.prng, site_facts(start.facts)?, now),
             nodes: Vec::new(),
             node_ids: HashMap::new(),
+            tags: peers::Tags::default(),
             items: HashMap::new(),
             held: HashMap::new(),
         })
@@ -46,6 +49,7 @@
         }
         let id = NodeId(self.nodes.len() as u32);
         self.nodes.push(name.to_string());
+        self.tags.add(name, id);
         self.node_ids.insert(name.to_string(), id);
         id
     }
@@ -126,6 +130,11 @@
         }
     }
 
+    pub fn datagram(&mut self, now: Nanos, datagram: &Datagram) {
+        let news = self.tags.read(&datagram.msg);
+        self.router.told(now, PeerId(datagram.sender), &news);
+    }
+
     pub fn lapsed(&mut self, now: Nanos, req: &str) {
         if let Some(Item::Multiget(multiget)) = self.items.get(req).copied() {
             self.router.lapsed(now, multiget);
@@ -168,6 +177,9 @@
                     self.over(multiget);
                 }
                 Decision::FollowList => output.push(Action::StreamChanges { router, full: true }),
+                Decision::Tell { news } => {
+                    output.push(Action::Publish { router, msg: self.tags.write(&news) });
+                }
                 Decision::Wake { after } => {
                     output.push(Action::Timer { router, after: after.as_millis(), label: 0 });
                 }
@@ -260,5 +272,6 @@
         most_hand_offs: facts.allowed.try_limit,
         longest_wait: facts.allowed.retry_after.then_some(millis(facts.allowed.max_retry_after)),
         must_ask: facts.discovery == "ask",
+        peers: facts.allowed.peers,
     })
 }
--- a/crates/fernknot-drill/src/main.rs
+++ b/crates/fernknot-drill/src/main.rs
@@ -2,6 +2,7 @@
 //! standard output. Hosts many instances, which share nothing.
 
 mod instance;
+mod peers;
 mod wire;
 
 use fernknot::interface::Nanos;
@@ -103,7 +104,14 @@
                 }
                 lapsed.router
             }
-            "bell" | "datagram" | "streaming" => {
+            "datagram" => {
+                let datagram: Datagram = fields(name, raw)?;
+                if let Some(instance) = self.instances.get_mut(&datagram.router) {
+                    instance.datagram(now, &datagram);
+                }
+                datagram.router
+            }
+            "bell" | "streaming" => {
                 let Plain { router } = fields(name, raw)?;
                 router
             }
--- /dev/null
+++ b/crates/fernknot-drill/src/peers.rs
@@ -0,0 +1,69 @@
+//! What routers tell each other, as bytes in hex: how many hand-offs were sent, two bytes for the
+//! node of each; then, for each one that ended, two bytes for its node and one for how it ended.
+
+use fernknot::interface::{Nanos, News, NodeId};
+use std::collections::HashMap;
+
+const OVERDUE: u8 = 254;
+const FAILED: u8 = 255;
+/// Steps of a latency's code for each doubling, from a tenth of a millisecond.
+const STEPS: f64 = 12.0;
+
+/// Short names of nodes that are the same at every router. One that two nodes share names neither.
+#[derive(Default)]
+pub struct Tags {
+    of: Vec<u16>,
+    nodes: HashMap<u16, Option<NodeId>>,
+}
+
+impl Tags {
+    pub fn add(&mut self, name: &str, node: NodeId) {
+        // FNV-1a, folded to two bytes.
+        let hash = name
+            .bytes()
+            .fold(0x811c_9dc5u32, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193));
+        let tag = (hash ^ (hash >> 16)) as u16;
+        self.of.push(tag);
+        self.nodes.entry(tag).and_modify(|node| *node = None).or_insert(Some(node));
+    }
+
+    pub fn write(&self, news: &[(NodeId, News)]) -> String {
+        let (sent, ended): (Vec<_>, Vec<_>) = news.iter().partition(|(_, what)| *what == News::Sent);
+        let mut bytes = vec![sent.len() as u8];
+        for (node, what) in sent.into_iter().chain(ended) {
+            bytes.extend(self.of[node.0 as usize].to_be_bytes());
+            match what {
+                News::Sent => {}
+                News::Answered(took) => {
+                    let code = (took.as_millis() * 10.0).max(1.0).log2() * STEPS;
+                    bytes.push(code.round().min(f64::from(OVERDUE - 1)) as u8);
+                }
+                News::Overdue => bytes.push(OVERDUE),
+                News::Failed => bytes.push(FAILED),
+            }
+        }
+        bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+
+    /// What can be read of a message; nothing of it is trusted to be whole.
+    pub fn read(&self, hex: &str) -> Vec<(NodeId, News)> {
+        let digits: Vec<u8> =
+            hex.chars().filter_map(|digit| digit.to_digit(16)).map(|digit| digit as u8).collect();
+        let bytes: Vec<u8> = digits.chunks_exact(2).map(|pair| pair[0] << 4 | pair[1]).collect();
+        let Some((sent, rest)) = bytes.split_first() else { return Vec::new() };
+        let (sent, ended) = rest.split_at(rest.len().min(2 * usize::from(*sent)));
+        let sent = sent.chunks_exact(2).map(|tag| (tag, News::Sent));
+        let ended = ended.chunks_exact(3).map(|entry| match entry[2] {
+            OVERDUE => (&entry[..2], News::Overdue),
+            FAILED => (&entry[..2], News::Failed),
+            code => {
+                (&entry[..2], News::Answered(Nanos::from_millis((f64::from(code) / STEPS).exp2() / 10.0)))
+            }
+        });
+        let known = |(tag, what): (&[u8], News)| {
+            let node = self.nodes.get(&u16::from_be_bytes([tag[0], tag[1]]))?;
+            node.map(|node| (node, what))
+        };
+        sent.chain(ended).filter_map(known).collect()
+    }
+}
--- a/crates/fernknot-drill/src/wire.rs
+++ b/crates/fernknot-drill/src/wire.rs
@@ -107,6 +107,13 @@
     pub req: String,
 }
 
+#[derive(Deserialize)]
+pub struct Datagram {
+    pub router: u64,
+    pub sender: u32,
+    pub msg: String,
+}
+
 /// Events of which only the instance matters.
 #[derive(Deserialize)]
 pub struct Plain {
@@ -138,6 +145,8 @@
 pub struct Allowed {
     #[serde(default)]
     pub cancel: bool,
+    #[serde(default)]
+    pub peers: bool,
     pub try_limit: u32,
     #[serde(default)]
     pub max_retry_after: f64,
@@ -209,6 +218,7 @@
     Bounce { router: u64, req: String, wait: f64 },
     WrapUp { router: u64, req: String, full: bool },
     StreamChanges { router: u64, full: bool },
+    Publish { router: u64, msg: String },
 }
 
 /// The fields of an event, or what is wrong with them.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,6 +65,8 @@
 /// How far hints are believed at first, and the spread of hints at which that weighs as much.
 const HINT_TRUST: f64 = 0.5;
 const HINT_PRIOR: f64 = 0.1;
+/// What one message to the other routers may hold.
+const MOST_NEWS: usize = 80;
 /// How long before an end the last answer is given, in ticks of the host.
 const END_TICKS: f64 = 4.0;
 /// A share counts as reached when it falls short by no more than rounding.
@@ -115,6 +117,10 @@
     /// When to ask to be told of changes of the list, where that must be asked.
     ask_at: Option<Nanos>,
     must_ask: bool,
+    /// What the other routers are to be told, where they may be, and when.
+    peers: bool,
+    news: Vec<(NodeId, News)>,
+    tell_at: Option<Nanos>,
     chance: Mwc,
     nodes: BTreeMap<NodeId, Node>,
     open: BTreeMap<MultigetId, Multiget>,
@@ -202,6 +208,9 @@
             longest_wait: facts.longest_wait.unwrap_or_default(),
             ask_at: facts.must_ask.then_some(now),
             must_ask: facts.must_ask,
+            peers: facts.peers && facts.routers > 1,
+            news: Vec::new(),
+            tell_at: None,
             chance: Mwc::new(seed),
             nodes: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -349,6 +358,9 @@
             node.pace.add(took / sent.ahead, PACE_GAIN);
             self.pace.add(took / sent.ahead, PACE_GAIN);
         }
+        if !matches!(ending.outcome, Outcome::CalledOff | Outcome::NeverSent) {
+            self.tell(now, sent.node, if failed { News::Failed } else { News::Answered(ending.took) });
+        }
     }
 
     /// A node's own account of its load, with an outcome or a probe's result.
@@ -358,6 +370,43 @@
         }
     }
 
+    /// What another router tells of its hand-offs: as good as our own for how a replica does and
+    /// how much it holds. Guards routers that each see little of a node against sending it too much.
+    pub fn told(&mut self, now: Nanos, from: PeerId, news: &[(NodeId, News)]) {
+        let lost_before = now - self.shortest_goal;
+        for (id, what) in news {
+            let Some(node) = self.nodes.get_mut(id) else { continue };
+            node.others.retain(|(_, sent, _)| *sent >= lost_before);
+            let ahead = node.holds(now, lost_before) + 1.0;
+            if *what == News::Sent {
+                node.others.push((from, now, ahead));
+                continue;
+            }
+            let sent = node.others.iter().position(|(by, _, _)| *by == from);
+            let sent = sent.map(|index| node.others.remove(index));
+            match (*what, sent) {
+                (News::Answered(took), _) => {
+                    node.last_answer = now;
+                    node.latencies.add(took.0 as f64);
+                    node.failures.add(false);
+                    if let Some((_, _, ahead)) = sent {
+                        node.pace.add(took.0 as f64 / ahead, PACE_GAIN);
+                    }
+                }
+                (News::Overdue, _) => node.latencies.add_miss(),
+                _ => node.failures.add(true),
+            }
+        }
+    }
+
+    fn tell(&mut self, now: Nanos, node: NodeId, what: News) {
+        if self.peers {
+            self.news.push((node, what));
+            let wait = self.shortest_goal.times(if what == News::Sent { 0.0 } else { DELAY_STEP });
+            self.tell_at = Some(self.tell_at.map_or(now + wait, |at| at.min(now + wait)));
+        }
+    }
+
     /// The client has gone; nothing more is owed. Guards against clients that leave long before
     /// their time is up, for any reason: what they bear takes the place of the goal time.
     pub fn lapsed(&mut self, now: Nanos, id: MultigetId) {
@@ -388,9 +437,14 @@
             } else if let Some(first) = self.due.first().copied().filter(|(at, _)| *at <= now) {
                 self.due.remove(&first);
                 self.touched.push_back(first.1);
+            } else if self.tell_at.is_some_and(|at| at <= now) {
+                let news = self.news.drain(..self.news.len().min(MOST_NEWS)).collect();
+                self.tell_at = self.tell_at.filter(|_| !self.news.is_empty());
+                return Some(Decision::Tell { news });
             } else {
                 let due = self.due.first().map(|(at, _)| *at);
-                let at = due.into_iter().chain(self.ask_at).fold(self.replan_at, Nanos::min);
+                let at =
+                    due.into_iter().chain(self.ask_at).chain(self.tell_at).fold(self.replan_at, Nanos::min);
                 if self.wake_at.is_some_and(|set| set > now && set <= at) {
                     return None;
                 }
@@ -630,6 +684,7 @@
                 if let Some(multiget) = self.open.get_mut(&part.id.of) {
                     multiget.parts[part.id.index].hand_offs[no].missed = true;
                 }
+                self.tell(now, sent.node, News::Overdue);
             }
         }
     }
@@ -678,6 +733,7 @@
             missed: false,
         });
         self.ready.push_back(Decision::HandOff { part: id, node: offer.node, stop_at });
+        self.tell(now, offer.node, News::Sent);
     }
 
     fn call_off(&mut self, part: PartId) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -51,6 +51,7 @@
     PlaceId(u32),
     UseCaseId(usize),
     CustomerId(usize),
+    PeerId(u32),
     HandOffNo(u32)
 );
 
@@ -115,6 +116,8 @@
     pub most_hand_offs: u32,
     pub longest_wait: Option<Nanos>,
     pub must_ask: bool,
+    /// Routers may send each other short messages.
+    pub peers: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -186,6 +189,15 @@
     pub report: LoadReport,
 }
 
+/// What a router tells the others of one hand-off.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum News {
+    Sent,
+    Answered(Nanos),
+    Overdue,
+    Failed,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     HandOff {
@@ -211,6 +223,10 @@
         multiget: MultigetId,
     },
     FollowList,
+    /// To all other routers.
+    Tell {
+        news: Vec<(NodeId, News)>,
+    },
     Wake {
         after: Nanos,
     },
--- a/src/state.rs
+++ b/src/state.rs
@@ -291,6 +291,8 @@
     pub pace: RunningMean,
     /// Hand-offs that are out: their sizes, and whether they are overdue.
     pub out: BTreeMap<(Nanos, PartId, usize), (f64, bool)>,
+    /// Hand-offs of other routers, as they told: by whom, when, and the work in hand then.
+    pub others: Vec<(PeerId, Nanos, f64)>,
     /// When the latest of the hand-offs that it has answered was sent.
     pub answered_to: Nanos,
     /// Sizes called off, and when they would be worked off.
@@ -315,6 +317,7 @@
             kinds: BTreeMap::new(),
             pace: RunningMean::default(),
             out: BTreeMap::new(),
+            others: Vec::new(),
             answered_to: Nanos(0),
             called_off: Vec::new(),
             last_answer: Nanos(0),
@@ -325,13 +328,16 @@
         }
     }
 
-    /// Sizes of work that it has of ours, for all that is known. What is overdue counts as lost if
+    /// Sizes of work that it has of ours and of others', for all that is known. What is overdue counts as lost if
     /// it was sent before `lost_before`, or before something that has been answered.
     pub fn holds(&self, now: Nanos, lost_before: Nanos) -> f64 {
-        let lost_before = lost_before.max(self.answered_to);
-        let held = self.out.iter().filter(|((sent, _, _), (_, overdue))| !overdue || *sent >= lost_before);
+        let ours = lost_before.max(self.answered_to);
+        let held = self.out.iter().filter(|((sent, _, _), (_, overdue))| !overdue || *sent >= ours);
         let called_off = self.called_off.iter().filter(|(until, _)| *until > now);
-        held.map(|(_, (size, _))| size).sum::<f64>() + called_off.map(|(_, size)| size).sum::<f64>()
+        let others = self.others.iter().filter(|(_, sent, _)| *sent >= lost_before).count();
+        held.map(|(_, (size, _))| size).sum::<f64>()
+            + called_off.map(|(_, size)| size).sum::<f64>()
+            + others as f64
     }
 
     /// The oldest hand-off that is out and not overdue.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -49,6 +49,7 @@
         most_hand_offs: 3,
         longest_wait: Some(ms(500.0)),
         must_ask: false,
+        peers: false,
     }
 }
 
