Count the goal time of a marked repeat from the client's first try

Cause: a repeat's goal time was counted anew, so work for repeats that could earn little or nothing stood before fresh work in each jam. What is left of the hard limit tells when the client first asked. Acts only where clients mark repeats, so that a client in a hurry is not taken for one that comes back.

--- a/crates/fernknot-drill/src/instance.rs
+++ b/crates/fernknot-drill/src/instance.rs
@@ -87,6 +87,7 @@
                     use_case: UseCaseId(order.lane),
                     customer: CustomerId(order.project),
                     client_end: Nanos::from_millis(order.client_deadline),
+                    repeat: order.retry,
                     effort,
                 },
             );
@@ -231,6 +232,7 @@
     let of = |list: &[f64], index: usize, default: f64| list.get(index).copied().unwrap_or(default);
     let use_case = |(index, class): (usize, &Class)| UseCaseFacts {
         goal: millis(class.on_time),
+        hard_limit: millis(class.deadline),
         earnings: class.worth,
         late_share: class.late_share,
         effect: match class.effect {
--- a/crates/fernknot-drill/src/wire.rs
+++ b/crates/fernknot-drill/src/wire.rs
@@ -72,6 +72,8 @@
     pub lane: usize,
     pub range_no: f64,
     pub client_deadline: f64,
+    #[serde(default)]
+    pub retry: bool,
     pub query: u64,
     pub effort: Option<f64>,
     #[serde(default)]
@@ -162,6 +164,7 @@
     #[serde(default)]
     pub aim_stretch: f64,
     pub on_time: f64,
+    pub deadline: f64,
     pub effect: ClassEffect,
     #[serde(default)]
     pub late_share: f64,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -75,6 +75,9 @@
 /// The figures of a use case that decisions need.
 struct UseCase {
     goal: Nanos,
+    hard_limit: Nanos,
+    /// The longest that a client has been seen to stay for one try.
+    stay: Nanos,
     /// How long clients have been seen to wait, up to the goal time.
     borne: Nanos,
     late_share: f64,
@@ -176,6 +179,8 @@
         let bins = Histogram::new(shortest_goal.0 as f64 * FIRST_BIN, BIN_RATIO, BINS);
         let use_cases = facts.use_cases.iter().map(|case| UseCase {
             goal: case.goal,
+            hard_limit: case.hard_limit,
+            stay: Nanos(0),
             borne: case.goal,
             late_share: case.late_share,
             earnings: case.earnings,
@@ -260,9 +265,15 @@
     }
 
     pub fn take(&mut self, now: Nanos, arrival: &Arrival) {
-        let Some(case) = self.use_cases.get(arrival.use_case.0) else { return };
+        let Some(case) = self.use_cases.get_mut(arrival.use_case.0) else { return };
         let stretch = arrival.effort.unwrap_or_default().times(case.stretch);
-        let end = |after: Nanos| (now + after + stretch).min(arrival.client_end);
+        // The goal time of a repeat runs from the client's first try, which shows in what is left
+        // of its hard limit. Guards fresh work against repeats that can no longer be in time.
+        let stay = arrival.client_end - now;
+        case.stay = case.stay.max(stay);
+        let cut = arrival.repeat && stay + self.tick.times(4.0) < case.stay;
+        let asked = if cut { now.min(arrival.client_end - case.hard_limit) } else { now };
+        let end = |after: Nanos| (asked + after + stretch).min(arrival.client_end).max(now);
         let multiget = Multiget {
             use_case: arrival.use_case,
             customer: arrival.customer,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -74,6 +74,8 @@
 #[derive(Clone, Debug)]
 pub struct UseCaseFacts {
     pub goal: Nanos,
+    /// How long a client waits in all, over all its tries.
+    pub hard_limit: Nanos,
     pub earnings: f64,
     pub late_share: f64,
     pub effect: Effect,
@@ -148,6 +150,8 @@
     pub use_case: UseCaseId,
     pub customer: CustomerId,
     pub client_end: Nanos,
+    /// The client has asked before and says so.
+    pub repeat: bool,
     /// Expected work of all parts, where the host is told.
     pub effort: Option<Nanos>,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -21,6 +21,7 @@
 pub fn facts() -> SiteFacts {
     let case = |effect, floor, late_share, second_step| UseCaseFacts {
         goal: ms(GOAL),
+        hard_limit: ms(HARD),
         earnings: 1.0,
         late_share,
         effect,
@@ -111,6 +112,7 @@
             use_case: UseCaseId(use_case),
             customer: CustomerId(0),
             client_end: ms(self.now + stays),
+            repeat: false,
             effort: None,
         };
         self.router.take(ms(self.now), &arrival);
