While nodes break, send one part of a multiget first and the rest once it answers

Nothing further is sent for a multiget of which two hand-offs broke before any answered. Covers any kind of work that kills what begins it; costs one part's time while nodes die for another reason.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -67,6 +67,11 @@
 const HINT_PRIOR: f64 = 0.1;
 /// What one message to the other routers may hold.
 const MOST_NEWS: usize = 80;
+/// Where so many hand-offs broke over so many recomputations, multigets are tried with one part.
+const BREAKS: f64 = 2.0;
+const BREAKS_OVER: f64 = 5.0;
+/// A multiget of which so many hand-offs broke before any was answered may bring nodes down.
+const SUSPECT: usize = 2;
 /// How long before an end the last answer is given, in ticks of the host.
 const END_TICKS: f64 = 4.0;
 /// A share counts as reached when it falls short by no more than rounding.
@@ -103,6 +108,7 @@
     phi: f64,
 }
 
+#[derive(Default)]
 pub struct Router {
     use_cases: Vec<UseCase>,
     /// Multigets within each customer's share at this router.
@@ -147,6 +153,8 @@
     further: SlidingCount,
     /// When a multiget was last dismissed for the delay it would meet.
     shed_at: Option<Nanos>,
+    /// Hand-offs that broke.
+    breaks: SlidingCount,
     touched: VecDeque<MultigetId>,
     due: BTreeSet<(Nanos, MultigetId)>,
     wake_at: Option<Nanos>,
@@ -214,30 +222,12 @@
             ask_at: facts.must_ask.then_some(now),
             must_ask: facts.must_ask,
             peers: facts.peers && facts.routers > 1,
-            news: Vec::new(),
-            tell_at: None,
             chance: Mwc::new(seed),
-            nodes: BTreeMap::new(),
-            open: BTreeMap::new(),
             latencies: bins.clone(),
             raw_latencies: bins,
-            failures: Tally::default(),
-            hints: Trend::default(),
-            pace: RunningMean::default(),
-            plan: BTreeMap::new(),
-            sends: BTreeMap::new(),
-            turns: BTreeMap::new(),
             replan_at: now + RECOMPUTE,
             mean_copies: 1.0,
-            taken: SlidingCount::default(),
-            first_sends: SlidingCount::default(),
-            copies: SlidingCount::default(),
-            further: SlidingCount::default(),
-            shed_at: None,
-            touched: VecDeque::new(),
-            due: BTreeSet::new(),
-            wake_at: None,
-            ready: VecDeque::new(),
+            ..Router::default()
         }
     }
 
@@ -284,6 +274,7 @@
             parts: Vec::new(),
             step_from: 0,
             fresh: true,
+            scouting: false,
             first_whole: true,
             look_at: Nanos(0),
             ended: false,
@@ -348,6 +339,9 @@
             kind.add(failed);
             node.failures.add(failed);
             self.failures.add(failed);
+            if matches!(ending.outcome, Outcome::Broken | Outcome::Unreachable) {
+                self.breaks.add(now, 1.0);
+            }
         }
         if !failed {
             let took = ending.took.0 as f64;
@@ -480,7 +474,7 @@
             }
             self.mend(now, id);
         }
-        let Some(multiget) = self.open.get(&id) else { return };
+        let Some(multiget) = self.open.get(&id).filter(|held| !held.ended) else { return };
         let case = &self.use_cases[multiget.use_case.0];
         // An answer has to reach the client, which asked up to a tick before it was heard, and the
         // host looks only once a tick. Guards against partial answers a moment too late.
@@ -584,12 +578,20 @@
             }
             asked || second
         });
+        // Guards against multigets that bring down each node that begins a part of them: while
+        // nodes break, the quickest part goes first, and the others once it has answered.
+        offers.retain(|(_, offer, _)| offer.is_some());
+        if offers.len() > 1 && self.breaks.within(now, RECOMPUTE.times(BREAKS_OVER)) >= BREAKS {
+            offers.truncate(1);
+            if let Some(multiget) = self.open.get_mut(&id) {
+                multiget.scouting = true;
+            }
+        }
         for (_, offer, part) in &offers {
             if let Some(offer) = offer {
                 self.hand_off(now, part.id, offer);
             }
         }
-        offers.retain(|(_, offer, _)| offer.is_some());
         offers.iter().for_each(|(_, _, part)| self.copy(now, part.id));
         true
     }
@@ -624,12 +626,25 @@
         let Some(multiget) = self.open.get(&id) else { return };
         let until = multiget.until;
         let left = if multiget.aim_end > now { multiget.aim_end } else { until } - now;
+        let sent = || multiget.step().iter().flat_map(|part| &part.hand_offs);
+        let heard = multiget.step().iter().any(|part| part.answered);
+        let broke = sent().filter(|sent| sent.outcome == Some(Outcome::Broken)).count();
+        // What is overdue or failed otherwise tells nothing of the multiget, so it goes on.
+        let awaits = sent().all(|sent| !sent.missed && sent.outcome.is_none_or(|how| how == Outcome::Broken));
+        let scouting = multiget.scouting && !heard && awaits;
+        let suspect = !heard && broke >= SUSPECT;
+        if suspect && sent().all(|sent| sent.outcome.is_some()) {
+            return self.give_up(now, id);
+        }
         for part in multiget.step().to_vec() {
             if part.answered {
                 self.call_off(part.id);
             } else if !part.given_up {
                 self.count_misses(now, &part);
                 let out = part.out().count();
+                if suspect || scouting && part.hand_offs.is_empty() {
+                    continue;
+                }
                 let overdue = part.out().all(|sent| now - sent.sent >= self.patience(sent));
                 if out > 0 && !(overdue && out == 1 && self.second_copies && !self.is_shedding(now)) {
                     continue;
@@ -942,6 +957,7 @@
             node.sent.forget(now, window);
         }
         let longest = self.budget.window.max(RECOMPUTE) + RECOMPUTE;
+        self.breaks.forget(now, RECOMPUTE.times(BREAKS_OVER));
         for count in [&mut self.first_sends, &mut self.copies, &mut self.further, &mut self.taken] {
             count.forget(now, longest);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -86,7 +86,7 @@
     pub second_step: bool,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ColdFacts {
     pub from: f64,
     pub warm_after: Nanos,
@@ -94,7 +94,7 @@
     pub window: Nanos,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct BudgetFacts {
     pub free: f64,
     pub share: f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Multiply-with-carry.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Mwc(u64);
 
 impl Mwc {
@@ -21,7 +21,7 @@
 }
 
 /// Spans in coarse bins, each wider than the one before by the same ratio; misses lie past all.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Histogram {
     first: f64,
     ratio: f64,
@@ -263,6 +263,8 @@
     pub step_from: usize,
     /// No part of the present step has been looked at yet.
     pub fresh: bool,
+    /// Its other parts wait for the first one's answer.
+    pub scouting: bool,
     pub first_whole: bool,
     /// When it is to be looked at without news.
     pub look_at: Nanos,
