Drop silence as delay, which late copies and misses have made needless

Overdue hand-offs still count as misses, and the late copy goes by the chance it adds, so what it guarded is covered; it hurt where most hand-offs to a node are rare and one late part made the node look shut.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -345,7 +345,6 @@
         }
         if !failed {
             let took = ending.took.0 as f64;
-            node.last_answer = now;
             node.answered_to = node.answered_to.max(sent.sent);
             node.served.add(now, part.size);
             // Late is not never: an answer takes back the miss counted while it was awaited.
@@ -391,7 +390,6 @@
             let sent = sent.map(|index| node.others.remove(index));
             match (*what, sent) {
                 (News::Answered(took), _) => {
-                    node.last_answer = now;
                     node.latencies.add(took.0 as f64);
                     node.failures.add(false);
                     if let Some((_, _, ahead)) = sent {
@@ -826,20 +824,12 @@
         in_time * (1.0 - kind.share(failures, PRIOR))
     }
 
-    /// How long a part would take at a replica, by what it holds of ours, and by how long it has
-    /// kept its oldest hand-off past what was expected if it has answered nothing meanwhile.
+    /// How long a part would take at a replica, by what it holds for all that is known.
     fn delay(&self, now: Nanos, node: &Node, more: f64) -> f64 {
         let usual = self.pace.get().unwrap_or(self.shortest_goal.0 as f64 * DELAY_STEP * 2.0);
         // Guards a replica that has just started against the work of one that is warm.
         let unheard = usual / self.warmth(now, node);
-        let drain = node.pace.get().unwrap_or(unheard) * (node.holds(now, now - self.shortest_goal) + more);
-        // Guards against parts that are lost one by one: once counted as a miss, such a part is
-        // no silence, and soon no work in hand either.
-        let oldest = node.oldest().map(|(sent, id, no)| {
-            let held = self.open.get(&id.of).map(|multiget| &multiget.parts[id.index].hand_offs[no]);
-            now - sent - held.map_or(Nanos(0), |sent| sent.expected)
-        });
-        drain + oldest.map_or(0.0, |overdue| overdue.min(now - node.last_answer).0 as f64)
+        node.pace.get().unwrap_or(unheard) * (node.holds(now, now - self.shortest_goal) + more)
     }
 
     /// The replica for a part: the highest share of answers within what is left of the goal
--- a/src/state.rs
+++ b/src/state.rs
@@ -299,7 +299,6 @@
     pub answered_to: Nanos,
     /// Sizes called off, and when they would be worked off.
     pub called_off: Vec<(Nanos, f64)>,
-    pub last_answer: Nanos,
     /// When its measurements were last halved.
     pub halved_at: Nanos,
     pub busy_share: Option<f64>,
@@ -322,7 +321,6 @@
             others: Vec::new(),
             answered_to: Nanos(0),
             called_off: Vec::new(),
-            last_answer: Nanos(0),
             halved_at: Nanos(0),
             busy_share: None,
             sent: SlidingCount::default(),
@@ -341,9 +339,4 @@
             + called_off.map(|(_, size)| size).sum::<f64>()
             + others as f64
     }
-
-    /// The oldest hand-off that is out and not overdue.
-    pub fn oldest(&self) -> Option<(Nanos, PartId, usize)> {
-        self.out.iter().find(|(_, (_, overdue))| !overdue).map(|(key, _)| *key)
-    }
 }
