Let a replica's pace start from the average and move by a quarter with each answer

Cause: the first answer alone set what a replica was expected to take, and a router that hears of a node every ten seconds kept that single noisy figure.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,6 +33,7 @@
 const PRIOR: f64 = 3.0;
 /// Weight of one answer in the running estimate of how fast a replica works off what it holds.
 const PACE_GAIN: f64 = 0.15;
+const PACE_FIRST: f64 = 0.25;
 /// Replicas whose expected delays lie within this share of the goal time are equal.
 const DELAY_STEP: f64 = 1.0 / 24.0;
 /// A hand-off is overdue after so many times its expected delay, and this share of its goal time.
@@ -359,8 +360,8 @@
                 self.hints.add(hint, took.max(1.0).ln(), SIZE_GAIN);
             }
             self.use_cases[multiget.use_case.0].latencies.add(took);
-            node.pace.add(took / sent.ahead, PACE_GAIN);
             self.pace.add(took / sent.ahead, PACE_GAIN);
+            node.pace.add_from(self.pace.get(), took / sent.ahead, PACE_FIRST);
         }
         if !matches!(ending.outcome, Outcome::CalledOff | Outcome::NeverSent) {
             self.tell(now, sent.node, if failed { News::Failed } else { News::Answered(ending.took) });
@@ -393,7 +394,7 @@
                     node.latencies.add(took.0 as f64);
                     node.failures.add(false);
                     if let Some((_, _, ahead)) = sent {
-                        node.pace.add(took.0 as f64 / ahead, PACE_GAIN);
+                        node.pace.add_from(self.pace.get(), took.0 as f64 / ahead, PACE_FIRST);
                     }
                 }
                 (News::Overdue, _) => node.latencies.add_miss(),
--- a/src/state.rs
+++ b/src/state.rs
@@ -161,6 +161,12 @@
         self.0 = Some(self.0.map_or(value, |mean| mean + gain * (value - mean)));
     }
 
+    /// The same, from a figure that stands for what came before the first.
+    pub fn add_from(&mut self, prior: Option<f64>, value: f64, gain: f64) {
+        self.0 = self.0.or(prior);
+        self.add(value, gain);
+    }
+
     pub fn get(&self) -> Option<f64> {
         self.0
     }
