--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,6 +16,8 @@
 const BUSIEST: f64 = 0.9;
 /// Extra copies stay under this share of the parts.
 const COPY_SHARE: f64 = 0.1;
+/// Late ones are sent only while all copies are under this share.
+const LATE_SHARE: f64 = 0.05;
 /// Service time and its spread are read from this share of the latencies, the fastest ones.
 const FASTEST: f64 = 0.7;
 /// How often copies are planned anew and measurements halved; a replica's own are kept until they
@@ -69,8 +71,8 @@
 /// What one message to the other routers may hold.
 const MOST_NEWS: usize = 80;
 /// Where so many hand-offs broke over so many recomputations, multigets are tried with one part.
-const BREAKS: f64 = 2.0;
-const BREAKS_OVER: f64 = 5.0;
+const BREAKS: f64 = 1.0;
+const BREAKS_OVER: f64 = 10.0;
 /// A multiget of which so many hand-offs broke before any was answered may bring nodes down.
 const SUSPECT: usize = 2;
 /// How long before an end the last answer is given, in ticks of the host.
@@ -605,7 +607,7 @@
             let part = &multiget.parts[id.index];
             let offer = self.choose(now, part, left, &BTreeMap::new());
             let Some(offer) = offer.filter(|_| !self.is_shedding(now)) else { return };
-            if !self.may_copy(now) || !self.may_send_further(now, part) {
+            if !self.may_copy(now, COPY_SHARE) || !self.may_send_further(now, part) {
                 return;
             }
             self.hand_off(now, id, &offer);
@@ -613,10 +615,10 @@
         }
     }
 
-    /// Whether one more copy, early or late, stays under the share of parts that copies may be.
-    fn may_copy(&self, now: Nanos) -> bool {
+    /// Whether one more copy keeps all copies, early and late, under this share of the parts.
+    fn may_copy(&self, now: Nanos, share: f64) -> bool {
         let span = RECOMPUTE.times(2.0);
-        self.copies.within(now, span) + 1.0 < COPY_SHARE * self.first_sends.within(now, span)
+        self.copies.within(now, span) + 1.0 < share * self.first_sends.within(now, span)
     }
 
     /// Looks after the parts that are not answered: overdue and failed hand-offs, parts for which
@@ -655,7 +657,7 @@
                 let offer = self.choose(now, &part, left, &BTreeMap::new()).filter(|offer| {
                     now + offer.delay < until && (out == 0 || missed * offer.phi >= LATE_GAIN)
                 });
-                let offer = offer.filter(|_| out == 0 || self.may_copy(now));
+                let offer = offer.filter(|_| out == 0 || self.may_copy(now, LATE_SHARE));
                 match offer {
                     Some(offer) if part.hand_offs.is_empty() || self.may_send_further(now, &part) => {
                         self.hand_off(now, part.id, &offer);
