Try one part first of a multiget that would touch over a quarter of the nodes

One part more in time is spent only while that and the expected delay fill under 0.45 of the goal time. Covers any work that fells what begins it, known or not.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -75,6 +75,8 @@
 const BREAKS_OVER: f64 = 10.0;
 /// A multiget of which so many hand-offs broke before any was answered may bring nodes down.
 const SUSPECT: usize = 2;
+const WIDE: f64 = 0.25;
+const EASY: f64 = 0.45;
 /// How long before an end the last answer is given, in ticks of the host.
 const END_TICKS: f64 = 4.0;
 /// A share counts as reached when it falls short by no more than rounding.
@@ -582,7 +584,10 @@
         // Guards against multigets that bring down each node that begins a part of them: while
         // nodes break, the quickest part goes first, and the others once it has answered.
         offers.retain(|(_, offer, _)| offer.is_some());
-        if offers.len() > 1 && self.breaks.within(now, RECOMPUTE.times(BREAKS_OVER)) >= BREAKS {
+        let first = offers.first().map_or(Nanos(0), |(delay, _, _)| *delay);
+        let easy = delay + first <= aim.times(EASY);
+        let wide = easy && offers.len() as f64 > WIDE * self.nodes.len() as f64;
+        if offers.len() > 1 && (wide || self.breaks.within(now, RECOMPUTE.times(BREAKS_OVER)) >= BREAKS) {
             offers.truncate(1);
             if let Some(multiget) = self.open.get_mut(&id) {
                 multiget.scouting = true;
