--- a/src/decide.rs
+++ b/src/decide.rs
@@ -70,11 +70,12 @@
 const HINT_PRIOR: f64 = 0.1;
 /// What one message to the other routers may hold.
 const MOST_NEWS: usize = 80;
-/// Where so many hand-offs broke over so many recomputations, multigets are tried with one part.
-const BREAKS: f64 = 1.0;
+/// For so many recomputations after a hand-off broke, multigets are tried with one part.
 const BREAKS_OVER: f64 = 10.0;
 /// A multiget of which so many hand-offs broke before any was answered may bring nodes down.
 const SUSPECT: usize = 2;
+/// One that would touch more than this share of the nodes at once is always tried with one part
+/// while the delay so made fills less than this share of its goal time.
 const WIDE: f64 = 0.25;
 const EASY: f64 = 0.45;
 /// How long before an end the last answer is given, in ticks of the host.
@@ -137,6 +138,7 @@
     tell_at: Option<Nanos>,
     chance: Mwc,
     nodes: BTreeMap<NodeId, Node>,
+    by_place: Places,
     open: BTreeMap<MultigetId, Multiget>,
     /// At all replicas: over sizes, misses among them, and as they were.
     latencies: Histogram,
@@ -158,8 +160,8 @@
     further: SlidingCount,
     /// When a multiget was last dismissed for the delay it would meet.
     shed_at: Option<Nanos>,
-    /// Hand-offs that broke.
-    breaks: SlidingCount,
+    /// When a hand-off last broke or found its node unreachable.
+    broke_at: Option<Nanos>,
     touched: VecDeque<MultigetId>,
     due: BTreeSet<(Nanos, MultigetId)>,
     wake_at: Option<Nanos>,
@@ -250,6 +252,7 @@
             if node.since != entry.since {
                 *node = Node { out: std::mem::take(&mut node.out), ..Node::new(entry, &bins) };
             }
+            self.by_place.put(entry.node, node.place, entry.place);
             (node.place, node.health, node.since) = (entry.place, entry.health, entry.since);
         }
     }
@@ -345,7 +348,7 @@
             node.failures.add(failed);
             self.failures.add(failed);
             if matches!(ending.outcome, Outcome::Broken | Outcome::Unreachable) {
-                self.breaks.add(now, 1.0);
+                self.broke_at = Some(now);
             }
         }
         if !failed {
@@ -585,9 +588,10 @@
         // nodes break, the quickest part goes first, and the others once it has answered.
         offers.retain(|(_, offer, _)| offer.is_some());
         let first = offers.first().map_or(Nanos(0), |(delay, _, _)| *delay);
-        let easy = delay + first <= aim.times(EASY);
-        let wide = easy && offers.len() as f64 > WIDE * self.nodes.len() as f64;
-        if offers.len() > 1 && (wide || self.breaks.within(now, RECOMPUTE.times(BREAKS_OVER)) >= BREAKS) {
+        let breaks = self.broke_at.is_some_and(|at| now - at < RECOMPUTE.times(BREAKS_OVER));
+        let wide = offers.len() as f64 > WIDE * self.nodes.len() as f64;
+        let room = aim.times(if breaks { FILL_BEST } else { EASY });
+        if offers.len() > 1 && (wide || breaks) && delay + first <= room {
             offers.truncate(1);
             if let Some(multiget) = self.open.get_mut(&id) {
                 multiget.scouting = true;
@@ -642,39 +646,42 @@
         if suspect && sent().all(|sent| sent.outcome.is_some()) {
             return self.give_up(now, id);
         }
-        for part in multiget.step().to_vec() {
+        for index in multiget.step_from..multiget.parts.len() {
+            let part = &self.open[&id].parts[index];
             if part.answered {
                 self.call_off(part.id);
-            } else if !part.given_up {
-                self.count_misses(now, &part);
-                let out = part.out().count();
-                if suspect || scouting && part.hand_offs.is_empty() {
-                    continue;
-                }
-                let overdue = part.out().all(|sent| now - sent.sent >= self.patience(sent));
-                if out > 0 && !(overdue && out == 1 && self.second_copies && !self.is_shedding(now)) {
-                    continue;
+                continue;
+            }
+            let late = |sent: &HandOff| now - sent.sent >= self.patience(sent);
+            let (out, overdue) = (part.out().count(), part.out().filter(|sent| late(sent)).count());
+            if part.given_up || out > overdue && overdue == 0 {
+                continue;
+            }
+            let part = part.clone();
+            self.count_misses(now, &part);
+            let held = suspect || scouting && part.hand_offs.is_empty() || out > overdue;
+            if held || out > 0 && (out > 1 || !self.second_copies || self.is_shedding(now)) {
+                continue;
+            }
+            // Guards against parts kept by a replica that answers nothing, and against failures:
+            // another replica is tried if it would be in time, and a second one beside the first
+            // only if that is far likelier to.
+            let missed: f64 = part.out().map(|sent| 1.0 - self.still(now, &part, sent, left)).product();
+            let offer = self.choose(now, &part, left, &BTreeMap::new()).filter(|offer| {
+                let gains = missed * offer.phi >= LATE_GAIN && self.may_copy(now, LATE_SHARE);
+                now + offer.delay < until && (out == 0 || gains)
+            });
+            match offer {
+                Some(offer) if part.hand_offs.is_empty() || self.may_send_further(now, &part) => {
+                    self.hand_off(now, part.id, &offer);
+                    self.copies.add(now, if out == 0 { 0.0 } else { 1.0 });
                 }
-                // Guards against parts kept by a replica that answers nothing, and against
-                // failures: another replica is tried if it would be in time, and a second one
-                // beside the first only if that is far likelier to.
-                let missed: f64 = part.out().map(|sent| 1.0 - self.still(now, &part, sent, left)).product();
-                let offer = self.choose(now, &part, left, &BTreeMap::new()).filter(|offer| {
-                    now + offer.delay < until && (out == 0 || missed * offer.phi >= LATE_GAIN)
-                });
-                let offer = offer.filter(|_| out == 0 || self.may_copy(now, LATE_SHARE));
-                match offer {
-                    Some(offer) if part.hand_offs.is_empty() || self.may_send_further(now, &part) => {
-                        self.hand_off(now, part.id, &offer);
-                        self.copies.add(now, if out == 0 { 0.0 } else { 1.0 });
-                    }
-                    _ if out == 0 && !part.hand_offs.is_empty() => {
-                        if let Some(multiget) = self.open.get_mut(&id) {
-                            multiget.parts[part.id.index].given_up = true;
-                        }
+                _ if out == 0 && !part.hand_offs.is_empty() => {
+                    if let Some(multiget) = self.open.get_mut(&id) {
+                        multiget.parts[index].given_up = true;
                     }
-                    _ => {}
                 }
+                _ => {}
             }
         }
     }
@@ -844,7 +851,7 @@
     /// time, cut by the delay that its work in hand adds to the usual; equals in turn.
     fn choose(&self, now: Nanos, part: &Part, left: Nanos, planned: &BTreeMap<NodeId, f64>) -> Option<Offer> {
         let use_case = self.open.get(&part.id.of)?.use_case;
-        let holders: Vec<NodeId> = self.holders(part.shard).collect();
+        let holders = self.holders(part.shard);
         let first = part.hand_offs.is_empty();
         let turn = self.turns.get(&part.shard).filter(|_| first).copied().unwrap_or(0);
         let step = self.shortest_goal.0 as f64 * DELAY_STEP;
@@ -869,10 +876,9 @@
         equal.min_by_key(|(_, key, _)| *key).map(|(_, _, offer)| offer)
     }
 
-    fn holders(&self, shard: ShardId) -> impl Iterator<Item = NodeId> + '_ {
-        let first = shard.0 % self.places;
-        let held = move |place: PlaceId| (place.0 + self.places - first) % self.places < self.width;
-        self.nodes.iter().filter(move |(_, node)| held(node.place)).map(|(id, _)| *id)
+    fn holders(&self, shard: ShardId) -> Vec<NodeId> {
+        let places = (0..self.width).map(|step| PlaceId((shard.0 % self.places + step) % self.places));
+        self.by_place.all_in(places)
     }
 
     fn is_cold(&self, now: Nanos, node: &Node) -> bool {
@@ -955,7 +961,6 @@
             node.sent.forget(now, window);
         }
         let longest = self.budget.window.max(RECOMPUTE) + RECOMPUTE;
-        self.breaks.forget(now, RECOMPUTE.times(BREAKS_OVER));
         for count in [&mut self.first_sends, &mut self.copies, &mut self.further, &mut self.taken] {
             count.forget(now, longest);
         }
@@ -965,7 +970,7 @@
     fn least_copies(&self, shard: ShardId, use_case: UseCaseId) -> (f64, usize) {
         let case = &self.use_cases[use_case.0];
         let size = case.size.get().unwrap_or(1.0);
-        let mut nodes: Vec<&Node> = self.holders(shard).map(|id| &self.nodes[&id]).collect();
+        let mut nodes: Vec<&Node> = self.holders(shard).iter().map(|id| &self.nodes[id]).collect();
         nodes.retain(|node| node.health == Health::Running);
         let goal = case.goal.0 as f64 / size;
         nodes.sort_by(|one, other| self.phi(other, use_case, goal).total_cmp(&self.phi(one, use_case, goal)));
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! Plain containers for what a router knows. Nothing here decides anything.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Multiply-with-carry.
 #[derive(Clone, Debug, Default)]
@@ -172,6 +172,28 @@
     }
 }
 
+/// Which nodes stand at which place.
+#[derive(Clone, Debug, Default)]
+pub struct Places(BTreeMap<PlaceId, BTreeSet<NodeId>>);
+
+impl Places {
+    pub fn put(&mut self, node: NodeId, from: PlaceId, to: PlaceId) {
+        if let Some(left) = self.0.get_mut(&from) {
+            left.remove(&node);
+        }
+        self.0.entry(to).or_default().insert(node);
+    }
+
+    /// The nodes at any of these places, in order.
+    pub fn all_in(&self, places: impl Iterator<Item = PlaceId>) -> Vec<NodeId> {
+        let mut nodes: Vec<NodeId> =
+            places.filter_map(|place| self.0.get(&place)).flatten().copied().collect();
+        nodes.sort();
+        nodes.dedup();
+        nodes
+    }
+}
+
 /// How many of so many failed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tally {
