--- a/src/decide.rs
+++ b/src/decide.rs
@@ -389,7 +389,7 @@
         for (id, what) in news {
             let Some(node) = self.nodes.get_mut(id) else { continue };
             node.others.retain(|(_, sent, _)| *sent >= lost_before);
-            let ahead = node.holds(now, lost_before) + 1.0;
+            let ahead = node.holds(lost_before) + 1.0;
             if *what == News::Sent {
                 node.others.push((from, now, ahead));
                 continue;
@@ -575,15 +575,6 @@
             self.end(id);
             return false;
         }
-        // Parts that an answer can do without are not asked of replicas that would be late with
-        // them. Guards the last replica of a shard against work that others need more.
-        offers.retain(|(delay, _, part)| {
-            let asked = *delay <= left;
-            if let Some(multiget) = self.open.get_mut(&id).filter(|_| !asked && !second) {
-                multiget.parts[part.id.index].given_up = true;
-            }
-            asked || second
-        });
         // Guards against multigets that bring down each node that begins a part of them: while
         // nodes break, the quickest part goes first, and the others once it has answered.
         offers.retain(|(_, offer, _)| offer.is_some());
@@ -750,7 +741,6 @@
         let (use_case, stop_at) = (multiget.use_case, multiget.until);
         let part = &mut multiget.parts[id.index];
         let Some(node) = self.nodes.get_mut(&offer.node) else { return };
-        node.called_off.retain(|(until, _)| *until > now);
         node.out.insert((now, id, part.hand_offs.len()), (part.size, false));
         node.sent.add(now, part.size);
         if part.hand_offs.is_empty() {
@@ -765,8 +755,7 @@
             node: offer.node,
             sent: now,
             expected: offer.delay,
-            size: part.size,
-            ahead: node.holds(now, now - self.shortest_goal),
+            ahead: node.holds(now - self.shortest_goal),
             outcome: None,
             called_off: false,
             missed: false,
@@ -783,8 +772,6 @@
                 self.ready.push_back(Decision::CallOff { part, no: HandOffNo(no as u32) });
                 if let Some(node) = self.nodes.get_mut(&sent.node) {
                     node.out.remove(&(sent.sent, part, no));
-                    // Guards against taking a replica for idle that goes on with what was called off.
-                    node.called_off.push((sent.sent + sent.expected, sent.size));
                 }
             }
         }
@@ -844,7 +831,7 @@
         let usual = self.pace.get().unwrap_or(self.shortest_goal.0 as f64 * DELAY_STEP * 2.0);
         // Guards a replica that has just started against the work of one that is warm.
         let unheard = usual / self.warmth(now, node);
-        node.pace.get().unwrap_or(unheard) * (node.holds(now, now - self.shortest_goal) + more)
+        node.pace.get().unwrap_or(unheard) * (node.holds(now - self.shortest_goal) + more)
     }
 
     /// The replica for a part: the highest share of answers within what is left of the goal
--- a/src/state.rs
+++ b/src/state.rs
@@ -248,7 +248,6 @@
     pub node: NodeId,
     pub sent: Nanos,
     pub expected: Nanos,
-    pub size: f64,
     /// The work in hand at its node when it was sent, itself included.
     pub ahead: f64,
     pub outcome: Option<Outcome>,
@@ -325,8 +324,6 @@
     pub others: Vec<(PeerId, Nanos, f64)>,
     /// When the latest of the hand-offs that it has answered was sent.
     pub answered_to: Nanos,
-    /// Sizes called off, and when they would be worked off.
-    pub called_off: Vec<(Nanos, f64)>,
     /// When its measurements were last halved.
     pub halved_at: Nanos,
     pub busy_share: Option<f64>,
@@ -348,7 +345,6 @@
             out: BTreeMap::new(),
             others: Vec::new(),
             answered_to: Nanos(0),
-            called_off: Vec::new(),
             halved_at: Nanos(0),
             busy_share: None,
             sent: SlidingCount::default(),
@@ -358,13 +354,10 @@
 
     /// Sizes of work that it has of ours and of others', for all that is known. What is overdue counts as lost if
     /// it was sent before `lost_before`, or before something that has been answered.
-    pub fn holds(&self, now: Nanos, lost_before: Nanos) -> f64 {
+    pub fn holds(&self, lost_before: Nanos) -> f64 {
         let ours = lost_before.max(self.answered_to);
         let held = self.out.iter().filter(|((sent, _, _), (_, overdue))| !overdue || *sent >= ours);
-        let called_off = self.called_off.iter().filter(|(until, _)| *until > now);
         let others = self.others.iter().filter(|(_, sent, _)| *sent >= lost_before).count();
-        held.map(|(_, (size, _))| size).sum::<f64>()
-            + called_off.map(|(_, size)| size).sum::<f64>()
-            + others as f64
+        held.map(|(_, (size, _))| size).sum::<f64>() + others as f64
     }
 }
