--- a/src/decide.rs
+++ b/src/decide.rs
@@ -582,17 +582,11 @@
         let breaks = self.broke_at.is_some_and(|at| now - at < RECOMPUTE.times(BREAKS_OVER));
         let wide = offers.len() as f64 > WIDE * self.nodes.len() as f64;
         let room = aim.times(if breaks { FILL_BEST } else { EASY });
-        if offers.len() > 1 && (wide || breaks) && delay + first <= room {
-            offers.truncate(1);
-            if let Some(multiget) = self.open.get_mut(&id) {
-                multiget.scouting = true;
-            }
-        }
-        for (_, offer, part) in &offers {
-            if let Some(offer) = offer {
-                self.hand_off(now, part.id, offer);
-            }
-        }
+        let scouting = !second && offers.len() > 1 && (wide || breaks) && delay + first <= room;
+        offers.truncate(if scouting { 1 } else { offers.len() });
+        self.open.get_mut(&id).into_iter().for_each(|multiget| multiget.scouting = scouting);
+        let offered = offers.iter().filter_map(|(_, offer, part)| offer.as_ref().map(|offer| (offer, part)));
+        offered.for_each(|(offer, part)| self.hand_off(now, part.id, offer));
         offers.iter().for_each(|(_, _, part)| self.copy(now, part.id));
         true
     }
