Keep what other routers say is overdue as work in hand for a goal time

Cause: a part overdue in a jam is still in its node's queue, and dropping it made just the jammed nodes look idle. Acts only where routers tell each other.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -394,19 +394,20 @@
                 node.others.push((from, now, ahead));
                 continue;
             }
+            if *what == News::Overdue {
+                // Late is not lost: it stays work in hand until it has been out a goal time.
+                node.latencies.add_miss();
+                continue;
+            }
             let sent = node.others.iter().position(|(by, _, _)| *by == from);
             let sent = sent.map(|index| node.others.remove(index));
-            match (*what, sent) {
-                (News::Answered(took), _) => {
-                    node.latencies.add(took.0 as f64);
-                    node.failures.add(false);
-                    if let Some((_, _, ahead)) = sent {
-                        node.pace.add_from(self.pace.get(), took.0 as f64 / ahead, PACE_FIRST);
-                    }
+            if let News::Answered(took) = *what {
+                node.latencies.add(took.0 as f64);
+                if let Some((_, _, ahead)) = sent {
+                    node.pace.add_from(self.pace.get(), took.0 as f64 / ahead, PACE_FIRST);
                 }
-                (News::Overdue, _) => node.latencies.add_miss(),
-                _ => node.failures.add(true),
             }
+            node.failures.add(*what == News::Failed);
         }
     }
 
