Close idle connections first where more is lost on them than elsewhere

Idle is a replica that has not answered for 0.75 of the shortest goal time; closing costs a handshake each, and acts only while 0.15 more is lost on idle connections.

--- a/crates/fernknot-drill/src/instance.rs
+++ b/crates/fernknot-drill/src/instance.rs
@@ -178,6 +178,9 @@
                     self.over(multiget);
                 }
                 Decision::FollowList => output.push(Action::StreamChanges { router, full: true }),
+                Decision::HangUp { node } => {
+                    output.push(Action::HangUp { router, node: self.nodes[node.0 as usize].clone() });
+                }
                 Decision::Tell { news } => {
                     output.push(Action::Publish { router, msg: self.tags.write(&news) });
                 }
--- a/crates/fernknot-drill/src/wire.rs
+++ b/crates/fernknot-drill/src/wire.rs
@@ -221,6 +221,7 @@
     Bounce { router: u64, req: String, wait: f64 },
     WrapUp { router: u64, req: String, full: bool },
     StreamChanges { router: u64, full: bool },
+    HangUp { router: u64, node: String },
     Publish { router: u64, msg: String },
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,8 +34,7 @@
 /// The weight, in answers, of the average replica in a replica's own record.
 const PRIOR: f64 = 3.0;
 /// Weight of one answer in the running estimate of how fast a replica works off what it holds.
-const PACE_GAIN: f64 = 0.15;
-const PACE_FIRST: f64 = 0.25;
+const PACE_GAIN: f64 = 0.2;
 /// Replicas whose expected delays lie within this share of the goal time are equal.
 const DELAY_STEP: f64 = 1.0 / 24.0;
 /// A hand-off is overdue after so many times its expected delay, and this share of its goal time.
@@ -46,10 +45,9 @@
 /// Without a budget in the settings, further hand-offs keep to this share of the parts.
 const EXTRA_SHARE: f64 = 0.15;
 /// The share of a goal time that the expected delay of a multiget may fill, for the best
-/// earnings by work, and for the least.
+/// earnings by work, for the least, and for a customer beyond its share.
 const FILL_BEST: f64 = 0.65;
 const FILL_LEAST: f64 = 0.5;
-/// The same for a customer beyond its share.
 const FILL_BEYOND: f64 = 0.4;
 /// Weight of one early leaver in the running estimate of what clients bear, its growth at each
 /// recomputation without any, and the share of it that is counted on.
@@ -78,6 +76,10 @@
 /// while the delay so made fills less than this share of its goal time.
 const WIDE: f64 = 0.25;
 const EASY: f64 = 0.45;
+/// A connection is idle after this share of the shortest goal time without use, and is closed where
+/// the share lost on idle ones is larger by so much.
+const IDLE: f64 = 0.75;
+const IDLE_LOST: f64 = 0.15;
 /// How long before an end the last answer is given, in ticks of the host.
 const END_TICKS: f64 = 4.0;
 /// A share counts as reached when it falls short by no more than rounding.
@@ -144,6 +146,8 @@
     latencies: Histogram,
     raw_latencies: Histogram,
     failures: Tally,
+    /// Hand-offs overdue or broken, on connections in use and on idle ones.
+    lost: [Tally; 2],
     /// Hints of work against latencies, as logarithms.
     hints: Trend,
     pace: RunningMean,
@@ -340,6 +344,10 @@
         let Some(node) = self.nodes.get_mut(&sent.node) else { return };
         node.out.remove(&(sent.sent, ending.part, ending.no.0 as usize));
         let failed = ending.outcome != Outcome::Answered;
+        node.used_at = if failed { node.used_at } else { now };
+        if !sent.missed && matches!(ending.outcome, Outcome::Answered | Outcome::Broken) {
+            self.lost[usize::from(sent.idle)].add(failed);
+        }
         if !matches!(ending.outcome, Outcome::CalledOff | Outcome::NeverSent) {
             // A replica that fails fast would look quick if only answers were measured; one that
             // fails some kind of work alone would look well if all kinds were counted together.
@@ -368,7 +376,7 @@
             }
             self.use_cases[multiget.use_case.0].latencies.add(took);
             self.pace.add(took / sent.ahead, PACE_GAIN);
-            node.pace.add_from(self.pace.get(), took / sent.ahead, PACE_FIRST);
+            node.pace.add_from(self.pace.get(), took / sent.ahead, PACE_GAIN);
         }
         if !matches!(ending.outcome, Outcome::CalledOff | Outcome::NeverSent) {
             self.tell(now, sent.node, if failed { News::Failed } else { News::Answered(ending.took) });
@@ -404,7 +412,7 @@
             if let News::Answered(took) = *what {
                 node.latencies.add(took.0 as f64);
                 if let Some((_, _, ahead)) = sent {
-                    node.pace.add_from(self.pace.get(), took.0 as f64 / ahead, PACE_FIRST);
+                    node.pace.add_from(self.pace.get(), took.0 as f64 / ahead, PACE_GAIN);
                 }
             }
             node.failures.add(*what == News::Failed);
@@ -678,20 +686,14 @@
         self.shed_at.is_some_and(|at| now - at < self.shortest_goal.times(OVERDUE_GOAL))
     }
 
-    /// The chance that a hand-off that is still out is answered within `left`: of the answers that
-    /// took as long, the share that came by then. Guards a jam against being fed with second
-    /// copies, and a router that hears little of a replica against taking what is late for lost.
+    /// The chance that a hand-off still out is answered within `left`: of all answers that took as
+    /// long, the share that came by then. Guards a jam against being fed with second copies, and a
+    /// router that hears little of a replica against taking what is late for lost.
     fn still(&self, now: Nanos, part: &Part, sent: &HandOff, left: Nanos) -> f64 {
-        let Some(node) = self.nodes.get(&sent.node) else { return 0.0 };
         let waited = (now - sent.sent).0 as f64 / part.size;
-        let share = |latencies: &Histogram, weight: f64| {
-            let past = latencies.total() - latencies.under(waited);
-            let by_then = latencies.under(waited + left.0 as f64 / part.size) - latencies.under(waited);
-            (by_then * weight, past * weight)
-        };
-        let (own, all) =
-            (share(&node.latencies, 1.0), share(&self.latencies, PRIOR / (self.latencies.total() + 1.0)));
-        (own.0 + all.0) / (own.1 + all.1).max(ROUNDING)
+        let before = self.latencies.under(waited);
+        let by_then = self.latencies.under(waited + left.0 as f64 / part.size) - before;
+        by_then / (self.latencies.total() - before).max(ROUNDING)
     }
 
     /// A replica that takes parts and answers nothing never shows a latency, so what is overdue
@@ -700,6 +702,7 @@
         for (no, sent) in part.hand_offs.iter().enumerate() {
             if sent.outcome.is_none() && !sent.missed && now - sent.sent >= self.patience(sent) {
                 self.latencies.add_miss();
+                self.lost[usize::from(sent.idle)].add(true);
                 if let Some(node) = self.nodes.get_mut(&sent.node) {
                     node.latencies.add_miss();
                     if let Some((_, overdue)) = node.out.get_mut(&(sent.sent, part.id, no)) {
@@ -736,6 +739,15 @@
         let (use_case, stop_at) = (multiget.use_case, multiget.until);
         let part = &mut multiget.parts[id.index];
         let Some(node) = self.nodes.get_mut(&offer.node) else { return };
+        // Guards against connections dropped unseen while idle: where more of what is sent on them is
+        // lost than elsewhere, they are closed first. Those that have answered lately are in use.
+        let mut idle = node.used_at.0 > 0 && now - node.used_at >= self.shortest_goal.times(IDLE);
+        let [busy_lost, idle_lost] = self.lost.map(|lost| lost.share(0.0, PRIOR));
+        if idle && idle_lost > busy_lost + IDLE_LOST {
+            idle = false;
+            self.ready.push_back(Decision::HangUp { node: offer.node });
+        }
+        node.used_at = if idle { node.used_at } else { now };
         node.out.insert((now, id, part.hand_offs.len()), (part.size, false));
         node.sent.add(now, part.size);
         if part.hand_offs.is_empty() {
@@ -750,6 +762,7 @@
             node: offer.node,
             sent: now,
             expected: offer.delay,
+            idle,
             ahead: node.holds(now - self.shortest_goal),
             outcome: None,
             called_off: false,
@@ -925,6 +938,7 @@
         self.latencies.halve();
         self.raw_latencies.halve();
         self.failures.halve();
+        self.lost.iter_mut().for_each(Tally::halve);
         for case in &mut self.use_cases {
             case.latencies.halve();
             case.borne = case.borne.times(BORNE_GROWTH).min(case.goal);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -227,6 +227,10 @@
         multiget: MultigetId,
     },
     FollowList,
+    /// Closes this router's idle connections to a node.
+    HangUp {
+        node: NodeId,
+    },
     /// To all other routers.
     Tell {
         news: Vec<(NodeId, News)>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -248,6 +248,8 @@
     pub node: NodeId,
     pub sent: Nanos,
     pub expected: Nanos,
+    /// It went out on a connection that had long been idle.
+    pub idle: bool,
     /// The work in hand at its node when it was sent, itself included.
     pub ahead: f64,
     pub outcome: Option<Outcome>,
@@ -327,6 +329,8 @@
     /// When its measurements were last halved.
     pub halved_at: Nanos,
     pub busy_share: Option<f64>,
+    /// When a hand-off to it was last sent or ended.
+    pub used_at: Nanos,
     /// Sizes sent, and sizes answered.
     pub sent: SlidingCount,
     pub served: SlidingCount,
@@ -347,6 +351,7 @@
             answered_to: Nanos(0),
             halved_at: Nanos(0),
             busy_share: None,
+            used_at: Nanos(0),
             sent: SlidingCount::default(),
             served: SlidingCount::default(),
         }
