--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,7 +48,7 @@
 /// earnings by work, for the least, and for a customer beyond its share.
 const FILL_BEST: f64 = 0.65;
 const FILL_LEAST: f64 = 0.5;
-const FILL_BEYOND: f64 = 0.4;
+const FILL_BEYOND: f64 = 0.25;
 /// Weight of one early leaver in the running estimate of what clients bear, its growth at each
 /// recomputation without any, and the share of it that is counted on.
 const BORNE_GAIN: f64 = 0.2;
@@ -86,6 +86,7 @@
 const ROUNDING: f64 = 0.00005;
 
 /// The figures of a use case that decisions need.
+#[derive(Default)]
 struct UseCase {
     goal: Nanos,
     hard_limit: Nanos,
@@ -174,13 +175,8 @@
 
 /// The estimate of the paper, section 4.3: the chance that one of the copies answers in time.
 pub fn service_level(phis: &[f64]) -> f64 {
-    let mut missed = 1.0;
-    let mut level = 0.0;
-    for phi in phis {
-        level += phi * missed;
-        missed *= 1.0 - phi;
-    }
-    level
+    let add = |(level, missed): (f64, f64), phi: &f64| (level + phi * missed, missed * (1.0 - phi));
+    phis.iter().fold((0.0, 1.0), add).0
 }
 
 /// The paper's target cut by M/G/1 queuing and the network.
@@ -199,7 +195,6 @@
         let use_cases = facts.use_cases.iter().map(|case| UseCase {
             goal: case.goal,
             hard_limit: case.hard_limit,
-            stay: Nanos(0),
             borne: case.goal,
             late_share: case.late_share,
             earnings: case.earnings,
@@ -209,8 +204,7 @@
             floor: case.floor,
             second_step: case.second_step,
             latencies: bins.clone(),
-            size: RunningMean::default(),
-            work: RunningMean::default(),
+            ..UseCase::default()
         });
         let own_share = |rate: &f64| {
             let rate = rate / facts.routers.max(1) as f64;
@@ -398,24 +392,21 @@
             let Some(node) = self.nodes.get_mut(id) else { continue };
             node.others.retain(|(_, sent, _)| *sent >= lost_before);
             let ahead = node.holds(lost_before) + 1.0;
-            if *what == News::Sent {
-                node.others.push((from, now, ahead));
-                continue;
-            }
-            if *what == News::Overdue {
-                // Late is not lost: it stays work in hand until it has been out a goal time.
-                node.latencies.add_miss();
-                continue;
-            }
             let sent = node.others.iter().position(|(by, _, _)| *by == from);
-            let sent = sent.map(|index| node.others.remove(index));
-            if let News::Answered(took) = *what {
-                node.latencies.add(took.0 as f64);
-                if let Some((_, _, ahead)) = sent {
-                    node.pace.add_from(self.pace.get(), took.0 as f64 / ahead, PACE_GAIN);
+            match (*what, sent) {
+                (News::Sent, _) => node.others.push((from, now, ahead)),
+                // Late is not lost: it stays work in hand until it has been out a goal time.
+                (News::Overdue, _) => node.latencies.add_miss(),
+                (_, sent) => {
+                    let sent = sent.map(|index| node.others.remove(index));
+                    node.failures.add(*what == News::Failed);
+                    if let News::Answered(took) = *what {
+                        node.latencies.add(took.0 as f64);
+                        let pace = sent.map(|(_, _, ahead)| took.0 as f64 / ahead);
+                        pace.iter().for_each(|pace| node.pace.add_from(self.pace.get(), *pace, PACE_GAIN));
+                    }
                 }
             }
-            node.failures.add(*what == News::Failed);
         }
     }
 
@@ -602,17 +593,14 @@
 
     /// The planned copies of a part that has just been handed off, as the design has it.
     fn copy(&mut self, now: Nanos, id: PartId) {
-        let Some(use_case) = self.open.get(&id.of).map(|multiget| multiget.use_case) else { return };
-        let shard = self.open[&id.of].parts[id.index].shard;
-        for _ in 1..self.plan.get(&(shard, use_case)).copied().unwrap_or(1) {
+        let Some(multiget) = self.open.get(&id.of) else { return };
+        let planned = self.plan.get(&(multiget.parts[id.index].shard, multiget.use_case));
+        for _ in 1..planned.copied().unwrap_or(1) {
             let multiget = &self.open[&id.of];
-            let left = multiget.aim_end - now;
             let part = &multiget.parts[id.index];
-            let offer = self.choose(now, part, left, &BTreeMap::new());
-            let Some(offer) = offer.filter(|_| !self.is_shedding(now)) else { return };
-            if !self.may_copy(now, COPY_SHARE) || !self.may_send_further(now, part) {
-                return;
-            }
+            let offer = self.choose(now, part, multiget.aim_end - now, &BTreeMap::new());
+            let may = self.may_copy(now, COPY_SHARE) && self.may_send_further(now, part);
+            let Some(offer) = offer.filter(|_| may && !self.is_shedding(now)) else { return };
             self.hand_off(now, id, &offer);
             self.copies.add(now, 1.0);
         }
@@ -896,17 +884,13 @@
         }
         let warm =
             self.nodes.values().filter(|other| other.health == Health::Running && !self.is_cold(now, other));
-        let served = warm.map(|other| other.served.within(now, self.served_span()));
+        let served = warm.map(|other| other.served.within(now, self.cold.window.times(COLD_SPANS)));
         // The most that one bears: the mean would sink with all that is dismissed, and hold cold
         // replicas back just where they are the last of their shard.
         let capacity = served.fold(0.0, f64::max) / COLD_SPANS;
         sent + more <= COLD_CARE * self.cold.multiple * self.warmth(now, node) * capacity
     }
 
-    fn served_span(&self) -> Nanos {
-        self.cold.window.times(COLD_SPANS)
-    }
-
     // ---- How many copies -------------------------------------------------------------------
 
     /// Takes the least number of copies for each shard and use case, as the design has it, the
@@ -943,7 +927,7 @@
             case.latencies.halve();
             case.borne = case.borne.times(BORNE_GROWTH).min(case.goal);
         }
-        let (span, window) = (self.served_span(), self.cold.window + self.tick);
+        let (span, window) = (self.cold.window.times(COLD_SPANS), self.cold.window + self.tick);
         for node in self.nodes.values_mut() {
             // Guards a router that hears little of each replica against forgetting a slow or
             // failing one before it has been seen twice.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -63,8 +63,9 @@
 }
 
 /// What a repeat of a part may do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
+    #[default]
     Replayable,
     /// A repeat is dropped for this long after the first hand-off that may have run.
     Referenced(Nanos),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -219,6 +219,21 @@
     assert_eq!(sent(&host).len(), parts);
 }
 
+#[test_case(true, true; "lost on connections long idle alone")]
+#[test_case(false, false; "answered there too")]
+fn idle_connections_are_closed_where_they_lose_what_is_sent(lost: bool, closed: bool) {
+    let mut host = Host::new(facts(), 8);
+    host.warm_up(REPLAYABLE, 40, 20.0);
+    for _ in 0..8 {
+        host.pass(2.0 * GOAL);
+        let id = host.take(REPLAYABLE, &[1.0]);
+        host.pass(if lost { 700.0 } else { 20.0 });
+        host.end(id, 0, 0, if lost { Outcome::TimedOut } else { Outcome::Answered }, 20.0);
+        host.pull();
+    }
+    assert_eq!(host.log.iter().any(|(_, decision)| matches!(decision, Decision::HangUp { .. })), closed);
+}
+
 #[test]
 fn nothing_further_is_sent_for_a_multiget_that_only_breaks() {
     let mut host = Host::new(facts(), 40);
