--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,7 +24,7 @@
 /// hold so many answers, or for so many times as long.
 const RECOMPUTE: Nanos = Nanos(2_000_000_000);
 const ENOUGH: f64 = 6.0;
-const KEPT: f64 = 6.0;
+const KEPT: f64 = 3.0;
 /// Replicas whose share of answers in time differs by less are equal.
 const PHI_STEP: f64 = 0.05;
 /// Bins of a latency histogram: the first ends at this share of the shortest goal time.
@@ -48,7 +48,7 @@
 /// earnings by work, for the least, and for a customer beyond its share.
 const FILL_BEST: f64 = 0.65;
 const FILL_LEAST: f64 = 0.5;
-const FILL_BEYOND: f64 = 0.25;
+const FILL_BEYOND: f64 = 0.33;
 /// Weight of one early leaver in the running estimate of what clients bear, its growth at each
 /// recomputation without any, and the share of it that is counted on.
 const BORNE_GAIN: f64 = 0.2;
@@ -75,7 +75,7 @@
 /// One that would touch more than this share of the nodes at once is always tried with one part
 /// while the delay so made fills less than this share of its goal time.
 const WIDE: f64 = 0.5;
-const EASY: f64 = 0.45;
+const EASY: f64 = 0.33;
 /// A connection is idle after this share of the shortest goal time without use, and is closed where
 /// the share lost on idle ones is larger by so much.
 const IDLE: f64 = 0.75;
