--- a/src/decide.rs
+++ b/src/decide.rs
@@ -108,12 +108,11 @@
     work: RunningMean,
 }
 
-/// What a router expects of a part at a node.
+/// What is expected of a part at a node; `phi` is the chance of an answer in time.
 #[derive(Clone, Copy)]
 struct Offer {
     node: NodeId,
     delay: Nanos,
-    /// The chance of an answer in time.
     phi: f64,
 }
 
@@ -645,16 +644,19 @@
             if held || out > 0 && (out > 1 || !self.second_copies || self.is_shedding(now)) {
                 continue;
             }
-            // Guards against parts kept by a replica that answers nothing, and against failures:
-            // another replica is tried if it would be in time, and a second one beside the first
-            // only if that is far likelier to.
+            // Guards against failures and replicas that answer nothing: another one is tried if it
+            // would be in time, and a second one beside the first only if far likelier to.
             let missed: f64 = part.out().map(|sent| 1.0 - self.still(now, &part, sent, left)).product();
             let offer = self.choose(now, &part, left, &BTreeMap::new()).filter(|offer| {
                 let gains = missed * offer.phi >= LATE_GAIN && self.may_copy(now, LATE_SHARE);
                 now + offer.delay < until && (out == 0 || gains)
             });
             match offer {
-                Some(offer) if part.hand_offs.is_empty() || self.may_send_further(now, &part) => {
+                Some(offer) if part.hand_offs.is_empty() => {
+                    self.hand_off(now, part.id, &offer);
+                    self.copy(now, part.id);
+                }
+                Some(offer) if self.may_send_further(now, &part) => {
                     self.hand_off(now, part.id, &offer);
                     self.copies.add(now, if out == 0 { 0.0 } else { 1.0 });
                 }
@@ -674,9 +676,8 @@
         self.shed_at.is_some_and(|at| now - at < self.shortest_goal.times(OVERDUE_GOAL))
     }
 
-    /// The chance that a hand-off still out is answered within `left`: of all answers that took as
-    /// long, the share that came by then. Guards a jam against being fed with second copies, and a
-    /// router that hears little of a replica against taking what is late for lost.
+    /// The chance that a hand-off still out is answered within `left`, by all answers that took as
+    /// long. Guards a jam against being fed with copies, and what is late against passing for lost.
     fn still(&self, now: Nanos, part: &Part, sent: &HandOff, left: Nanos) -> f64 {
         let waited = (now - sent.sent).0 as f64 / part.size;
         let before = self.latencies.under(waited);
