--- a/src/decide.rs
+++ b/src/decide.rs
@@ -75,7 +75,7 @@
 /// One that would touch more than this share of the nodes at once is always tried with one part
 /// while the delay so made fills less than this share of its goal time.
 const WIDE: f64 = 0.5;
-const EASY: f64 = 0.33;
+const EASY: f64 = 0.4;
 /// A connection is idle after this share of the shortest goal time without use, and is closed where
 /// the share lost on idle ones is larger by so much.
 const IDLE: f64 = 0.75;
