--- a/crates/fernknot-drill/src/peers.rs
+++ b/crates/fernknot-drill/src/peers.rs
@@ -67,3 +67,30 @@
         sent.chain(ended).filter_map(known).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_written_is_read_and_what_is_cut_off_or_strange_is_left_out() {
+        let mut tags = Tags::default();
+        tags.add("10.0.0.1:80", NodeId(0));
+        tags.add("10.0.0.2:80", NodeId(1));
+        let took = News::Answered(Nanos::from_millis(200.0));
+        let news = [
+            (NodeId(1), News::Sent),
+            (NodeId(0), News::Overdue),
+            (NodeId(1), News::Failed),
+            (NodeId(0), took),
+        ];
+        let hex = tags.write(&news);
+        let read = tags.read(&hex);
+        assert_eq!(read[..3], news[..3]);
+        let (node, News::Answered(told)) = read[3] else { panic!("{read:?}") };
+        assert!(node == NodeId(0) && (180.0..220.0).contains(&told.as_millis()));
+        assert_eq!(tags.read(&hex[..hex.len() - 1]), news[..3]);
+        assert_eq!(Tags::default().read(&hex), []);
+        assert_eq!(tags.read("ffé"), []);
+    }
+}
