--- /dev/null
+++ b/crates/fernknot-config/src/facts.rs
@@ -0,0 +1,199 @@
+//! The settings object as the bench and the sockets give it, and what is made of it.
+
+use fernknot::interface::*;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Facts {
+    #[serde(default)]
+    accounts: Vec<Account>,
+    allowed: Allowed,
+    balancers: usize,
+    classes: Vec<Class>,
+    discovery: String,
+    family_info: FamilyInfo,
+    rules: Rules,
+    position: Option<usize>,
+    tick: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Account {
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Allowed {
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default)]
+    peers: bool,
+    try_limit: u32,
+    #[serde(default)]
+    max_retry_after: f64,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    second_copies: bool,
+    conn_idle: Option<f64>,
+    connect_timeout: Option<f64>,
+    max_streams: Option<usize>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Class {
+    #[serde(default)]
+    aim_stretch: f64,
+    #[serde(default)]
+    name: String,
+    on_time: f64,
+    deadline: f64,
+    effect: ClassEffect,
+    #[serde(default)]
+    late_share: f64,
+    #[serde(default)]
+    repeat_window: f64,
+    worth: f64,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum ClassEffect {
+    Safe,
+    Keyed,
+    Unsafe,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct FamilyInfo {
+    places: u32,
+    width: u32,
+    slabs: Option<u32>,
+    bundle_max: Option<usize>,
+    #[serde(default)]
+    class_fetch: Vec<f64>,
+    #[serde(default)]
+    min_share: Vec<f64>,
+    #[serde(default)]
+    class_need: Vec<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Rules {
+    free_resends: Option<f64>,
+    extra_share: Option<f64>,
+    counted_over: Option<f64>,
+    cold_from: f64,
+    cold: f64,
+    fall_multiple: f64,
+    fall: f64,
+    drain_grace: Option<f64>,
+}
+
+/// What the sockets need of the settings, beside the module.
+#[derive(Clone, Debug)]
+pub struct SocketFacts {
+    /// The use cases' names as paths have them, and whether each needs a key, in the module's order.
+    pub use_cases: Vec<(String, bool)>,
+    pub shards: u32,
+    /// Calls that one connection carries at once, and parts that one call holds.
+    pub streams: usize,
+    pub batch: usize,
+    pub idle: Nanos,
+    pub connect_within: Nanos,
+    pub drain_grace: Nanos,
+    pub position: usize,
+}
+
+impl Facts {
+    /// What the decision module is told.
+    pub fn site(&self) -> Result<SiteFacts, String> {
+        let facts = self;
+        let millis = Nanos::from_millis;
+        let family = &facts.family_info;
+        let of = |list: &[f64], index: usize, default: f64| list.get(index).copied().unwrap_or(default);
+        let use_case = |(index, class): (usize, &Class)| UseCaseFacts {
+            goal: millis(class.on_time),
+            hard_limit: millis(class.deadline),
+            earnings: class.worth,
+            late_share: class.late_share,
+            effect: match class.effect {
+                ClassEffect::Safe => Effect::Replayable,
+                ClassEffect::Keyed => Effect::Referenced(millis(class.repeat_window)),
+                ClassEffect::Unsafe => Effect::SingleUse,
+            },
+            stretch: class.aim_stretch,
+            need: of(&family.class_need, index, 1.0),
+            floor: of(&family.min_share, index, of(&family.class_need, index, 1.0)),
+            second_step: of(&family.class_fetch, index, 0.0) > 0.0,
+        };
+        let rules = &facts.rules;
+        let budget = match (rules.free_resends, rules.extra_share, rules.counted_over) {
+            (None, None, _) => None,
+            (free, share, Some(window)) => Some(BudgetFacts {
+                free: free.unwrap_or(0.0),
+                share: share.unwrap_or(0.0),
+                window: millis(window),
+            }),
+            _ => return Err("rules.countedOver: missing beside freeResends or extraShare".to_string()),
+        };
+        Ok(SiteFacts {
+            routers: facts.balancers,
+            use_cases: facts.classes.iter().enumerate().map(use_case).collect(),
+            customers: facts.accounts.iter().map(|account| account.quota_per_s).collect(),
+            tick: millis(facts.tick),
+            cold: ColdFacts {
+                from: rules.cold_from,
+                warm_after: millis(rules.cold),
+                multiple: rules.fall_multiple,
+                window: millis(rules.fall),
+            },
+            budget,
+            places: family.places,
+            width: family.width,
+            cancel: facts.allowed.cancel,
+            second_copies: facts.allowed.second_copies,
+            most_hand_offs: facts.allowed.try_limit,
+            longest_wait: facts.allowed.retry_after.then_some(millis(facts.allowed.max_retry_after)),
+            must_ask: facts.discovery == "ask",
+            peers: facts.allowed.peers,
+        })
+    }
+
+    /// What the sockets need; a drill can do without.
+    pub fn sockets(&self) -> Result<SocketFacts, String> {
+        let span = |key: &str, value: Option<f64>| match value {
+            Some(value) if value > 0.0 => Ok(Nanos::from_millis(value)),
+            Some(value) => Err(format!("{key}: {value} is no time")),
+            None => Err(format!("{key}: missing")),
+        };
+        let count = |key: &str, value: Option<usize>| match value {
+            Some(0) => Err(format!("{key}: must be at least 1")),
+            Some(value) => Ok(value),
+            None => Err(format!("{key}: missing")),
+        };
+        for (index, class) in self.classes.iter().enumerate() {
+            let seen = self.classes[..index].iter().any(|other| other.name == class.name);
+            if class.name.is_empty() || seen {
+                return Err(format!("classes[{index}].name: missing or given twice"));
+            }
+        }
+        let class = |class: &Class| (class.name.clone(), matches!(class.effect, ClassEffect::Keyed));
+        Ok(SocketFacts {
+            use_cases: self.classes.iter().map(class).collect(),
+            shards: count("familyInfo.slabs", self.family_info.slabs.map(|slabs| slabs as usize))? as u32,
+            streams: count("allowed.maxStreams", self.allowed.max_streams)?,
+            batch: count("familyInfo.bundleMax", self.family_info.bundle_max)?,
+            idle: span("allowed.connIdle", self.allowed.conn_idle)?,
+            connect_within: span("allowed.connectTimeout", self.allowed.connect_timeout)?,
+            drain_grace: span("rules.drainGrace", self.rules.drain_grace)?,
+            position: self.position.ok_or("position: missing")?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/fernknot-config/src/lib.rs
@@ -0,0 +1,9 @@
+//! The one place where configuration is read, checked and given defaults.
+
+mod facts;
+mod limits;
+mod start;
+
+pub use facts::{Facts, SocketFacts};
+pub use limits::Limits;
+pub use start::{Start, Told};
--- /dev/null
+++ b/crates/fernknot-config/src/limits.rs
@@ -0,0 +1,94 @@
+//! Sizes, counts and times that bound what a router holds and waits for, filled once at its start.
+
+use crate::facts::SocketFacts;
+use fernknot::interface::Nanos;
+
+/// Descriptors that are neither clients' nor nodes': the loop's own, listener, discovery, datagrams,
+/// signals, the three standard ones, and a few in reserve.
+const RESERVE: usize = 24;
+const LEAST_SOCKETS: usize = 64;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Connections of clients and to nodes.
+    pub clients: usize,
+    pub node_links: usize,
+    /// Bytes of a request's head and body, of a frame, and of a list.
+    pub head: usize,
+    pub body: usize,
+    pub frame: usize,
+    pub list: usize,
+    pub headers: usize,
+    /// Bytes of a name given by others: a request's id or key, a part's id.
+    pub name: usize,
+    /// Bytes that an idle connection's buffer may keep, and that one turn reads of one connection.
+    pub kept: usize,
+    pub turn: usize,
+    pub datagram: usize,
+    /// Given-up parts that a connection remembers, to tell a late answer from a strange one.
+    pub given_up: usize,
+    /// Bytes of log that wait for standard error.
+    pub log: usize,
+    /// A connection to a node is closed after so long without use, before the node closes it.
+    pub node_idle: Nanos,
+    pub connect_within: Nanos,
+    pub drain_grace: Nanos,
+    /// A client's connection may be idle, take to send a request, and not read its answer for so long.
+    pub client_idle: Nanos,
+    pub client_stalls: Nanos,
+    /// How long the other side may take to close a connection that has been ended.
+    pub closing: Nanos,
+    /// How long a watch waits, how much longer its answer may take, and the waits between tries.
+    pub watch: Nanos,
+    pub watch_late: Nanos,
+    pub retry_first: Nanos,
+    pub retry_most: Nanos,
+    /// How long clients may still come after the order to stop.
+    pub linger: Nanos,
+    /// When accepting is tried again after descriptors ran out.
+    pub accept_again: Nanos,
+}
+
+impl Limits {
+    pub fn new(sockets: usize, memory_mb: f64, facts: &SocketFacts) -> Result<Limits, String> {
+        if sockets < LEAST_SOCKETS {
+            return Err(format!("limits.sockets: {sockets} is under {LEAST_SOCKETS}"));
+        }
+        if memory_mb.is_nan() || memory_mb < 32.0 {
+            return Err(format!("limits.memory_mb: {memory_mb} is under 32"));
+        }
+        let seconds = |count: u64| Nanos(count * 1_000_000_000);
+        let millis = |count: u64| Nanos(count * 1_000_000);
+        let free = sockets - RESERVE;
+        let body = 64 * 1024;
+        // Half the memory at most may stand in buffers, were every client to send all it may.
+        let affordable = (memory_mb * 1024.0 * 1024.0 / 2.0) as usize / (2 * body);
+        Ok(Limits {
+            clients: (free * 2 / 3).min(affordable.max(8)),
+            node_links: free / 3,
+            head: 16 * 1024,
+            body,
+            frame: body,
+            list: 1024 * 1024,
+            headers: 64,
+            name: 128,
+            kept: 4 * 1024,
+            turn: 64 * 1024,
+            datagram: 256,
+            given_up: 1024,
+            log: 64 * 1024,
+            node_idle: facts.idle.times(0.8),
+            connect_within: facts.connect_within,
+            drain_grace: facts.drain_grace,
+            client_idle: seconds(60),
+            client_stalls: seconds(30),
+            closing: seconds(2),
+            watch: seconds(10),
+            watch_late: seconds(2),
+            retry_first: millis(50),
+            retry_most: seconds(1),
+            linger: millis(700),
+            accept_again: millis(100),
+        })
+    }
+}
--- /dev/null
+++ b/crates/fernknot-config/src/start.rs
@@ -0,0 +1,113 @@
+//! What a router on sockets is told when it starts: the environment, and the file it names.
+
+use crate::facts::{Facts, SocketFacts};
+use crate::limits::Limits;
+use fernknot::interface::SiteFacts;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    limits: Bounds,
+    peer_listen: Option<String>,
+    #[serde(default)]
+    peers: Vec<String>,
+    peers_all: Option<String>,
+    known: Option<Box<RawValue>>,
+    settings: Facts,
+}
+
+#[derive(Deserialize)]
+struct Bounds {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+/// How routers reach each other, where they may.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub listen: SocketAddr,
+    /// In the order of their numbers, this router among them.
+    pub peers: Vec<SocketAddr>,
+    pub all: SocketAddr,
+}
+
+#[derive(Debug)]
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// The list as it was last known, in discovery's form.
+    pub known: Option<Box<RawValue>>,
+    pub told: Option<Told>,
+    pub site: SiteFacts,
+    pub sockets: SocketFacts,
+    pub limits: Limits,
+}
+
+impl Start {
+    /// What the environment says goes before the file; messages name the key at fault.
+    pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+        let path = variable("ROUTER_CONFIG").ok_or("ROUTER_CONFIG: not set")?;
+        let text =
+            std::fs::read_to_string(&path).map_err(|error| format!("ROUTER_CONFIG: {path}: {error}"))?;
+        Start::parse(&text, variable)
+    }
+
+    pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+        let mut reader = serde_json::Deserializer::from_str(text);
+        let file: File = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+            let path = error.path().to_string();
+            format!("{path}: {}", error.into_inner())
+        })?;
+        let given = |name: &str, key: &str, value: Option<String>| {
+            variable(name).or(value).ok_or(format!("{key}: missing, and {name} is not set"))
+        };
+        let name = given("ROUTER_NAME", "name", file.name)?;
+        let listen = given("ROUTER_LISTEN", "listen", file.listen)?;
+        let discovery = given("ROUTER_DISCOVERY", "discovery", file.discovery)?;
+        let settings = |message: String| format!("settings.{message}");
+        let mut site = file.settings.site().map_err(settings)?;
+        // On sockets a multiget is one request with one answer: there is no second step.
+        site.use_cases.iter_mut().for_each(|use_case| use_case.second_step = false);
+        let sockets = file.settings.sockets().map_err(settings)?;
+        let seed = u64::from_str_radix(&file.seed, 16)
+            .map_err(|_| format!("seed: {:?} is not 16 hex digits", file.seed))?;
+        let told = match (site.peers && site.routers > 1, file.peer_listen, file.peers_all) {
+            (false, _, _) => None,
+            (true, Some(own), Some(all)) => Some(Told {
+                listen: address("peer_listen", &own)?,
+                peers: file
+                    .peers
+                    .iter()
+                    .enumerate()
+                    .map(|(index, peer)| address(&format!("peers[{index}]"), peer))
+                    .collect::<Result<_, _>>()?,
+                all: address("peers_all", &all)?,
+            }),
+            (true, None, _) => return Err("peer_listen: missing, though settings.allowed.peers".to_string()),
+            (true, _, None) => return Err("peers_all: missing, though settings.allowed.peers".to_string()),
+        };
+        Ok(Start {
+            name,
+            listen: address("listen", &listen)?,
+            discovery: address("discovery", &discovery)?,
+            seed,
+            known: file.known,
+            told,
+            limits: Limits::new(file.limits.sockets, file.limits.memory_mb, &sockets)?,
+            site,
+            sockets,
+        })
+    }
+}
+
+fn address(key: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{key}: {text:?} is no address with a port"))
+}
--- a/crates/fernknot-drill/src/instance.rs
+++ b/crates/fernknot-drill/src/instance.rs
@@ -1,11 +1,14 @@
 //! One instance: a router and the names that the wire has for what it holds.
 
-use crate::peers;
 use crate::wire::*;
 use fernknot::decide::Router;
 use fernknot::interface::*;
+use fernknot_protocol::news::Tags;
 use std::collections::HashMap;
 
+/// Bytes that the wire lets one message hold.
+const MESSAGE: usize = 256;
+
 #[derive(Clone, Copy)]
 enum Item {
     Multiget(MultigetId),
@@ -25,7 +28,7 @@
     router: Router,
     nodes: Vec<String>,
     node_ids: HashMap<String, NodeId>,
-    tags: peers::Tags,
+    tags: Tags,
     items: HashMap<String, Item>,
     held: HashMap<MultigetId, Held>,
 }
@@ -34,10 +37,10 @@
     pub fn new(now: Nanos, start: PowerOn) -> Result<Instance, String> {
         Ok(Instance {
             id: start.router,
-            router: Router::new(start.prng, site_facts(start.facts)?, now),
+            router: Router::new(start.prng, start.facts.site()?, now),
             nodes: Vec::new(),
             node_ids: HashMap::new(),
-            tags: peers::Tags::default(),
+            tags: Tags::default(),
             items: HashMap::new(),
             held: HashMap::new(),
         })
@@ -132,7 +135,7 @@
     }
 
     pub fn datagram(&mut self, now: Nanos, datagram: &Datagram) {
-        let news = self.tags.read(&datagram.msg);
+        let news = self.tags.read(&bytes_of(&datagram.msg));
         self.router.told(now, PeerId(datagram.sender), &news);
     }
 
@@ -182,7 +185,9 @@
                     output.push(Action::HangUp { router, node: self.nodes[node.0 as usize].clone() });
                 }
                 Decision::Tell { news } => {
-                    output.push(Action::Publish { router, msg: self.tags.write(&news) });
+                    for message in self.tags.write(&news, MESSAGE) {
+                        output.push(Action::Publish { router, msg: hex_of(&message) });
+                    }
                 }
                 Decision::Wake { after } => {
                     output.push(Action::Timer { router, after: after.as_millis(), label: 0 });
@@ -229,54 +234,13 @@
     LoadReport { busy_share: load.get("cpu_share").copied(), waiting: load.get("pending").copied() }
 }
 
-fn site_facts(facts: Facts) -> Result<SiteFacts, String> {
-    let millis = Nanos::from_millis;
-    let family = &facts.family_info;
-    let of = |list: &[f64], index: usize, default: f64| list.get(index).copied().unwrap_or(default);
-    let use_case = |(index, class): (usize, &Class)| UseCaseFacts {
-        goal: millis(class.on_time),
-        hard_limit: millis(class.deadline),
-        earnings: class.worth,
-        late_share: class.late_share,
-        effect: match class.effect {
-            ClassEffect::Safe => Effect::Replayable,
-            ClassEffect::Keyed => Effect::Referenced(millis(class.repeat_window)),
-            ClassEffect::Unsafe => Effect::SingleUse,
-        },
-        stretch: class.aim_stretch,
-        need: of(&family.class_need, index, 1.0),
-        floor: of(&family.min_share, index, of(&family.class_need, index, 1.0)),
-        second_step: of(&family.class_fetch, index, 0.0) > 0.0,
-    };
-    let rules = &facts.rules;
-    let budget = match (rules.free_resends, rules.extra_share, rules.counted_over) {
-        (None, None, None) => None,
-        (free, share, Some(window)) => Some(BudgetFacts {
-            free: free.unwrap_or(0.0),
-            share: share.unwrap_or(0.0),
-            window: millis(window),
-        }),
-        _ => return Err("facts: rules.countedOver is missing beside freeResends or extraShare".to_string()),
-    };
-    Ok(SiteFacts {
-        routers: facts.balancers,
-        use_cases: facts.classes.iter().enumerate().map(use_case).collect(),
-        customers: facts.accounts.iter().map(|account| account.quota_per_s).collect(),
-        tick: millis(facts.tick),
-        cold: ColdFacts {
-            from: rules.cold_from,
-            warm_after: millis(rules.cold),
-            multiple: rules.fall_multiple,
-            window: millis(rules.fall),
-        },
-        budget,
-        places: family.places,
-        width: family.width,
-        cancel: facts.allowed.cancel,
-        second_copies: facts.allowed.second_copies,
-        most_hand_offs: facts.allowed.try_limit,
-        longest_wait: facts.allowed.retry_after.then_some(millis(facts.allowed.max_retry_after)),
-        must_ask: facts.discovery == "ask",
-        peers: facts.allowed.peers,
-    })
+/// The wire has bytes in hex; what is not hex is passed over.
+fn bytes_of(hex: &str) -> Vec<u8> {
+    let digits: Vec<u8> =
+        hex.chars().filter_map(|digit| digit.to_digit(16)).map(|digit| digit as u8).collect();
+    digits.chunks_exact(2).map(|pair| pair[0] << 4 | pair[1]).collect()
+}
+
+fn hex_of(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
--- a/crates/fernknot-drill/src/main.rs
+++ b/crates/fernknot-drill/src/main.rs
@@ -2,7 +2,6 @@
 //! standard output. Hosts many instances, which share nothing.
 
 mod instance;
-mod peers;
 mod wire;
 
 use fernknot::interface::Nanos;
--- a/crates/fernknot-drill/src/wire.rs
+++ b/crates/fernknot-drill/src/wire.rs
@@ -1,5 +1,6 @@
 //! The bench's wire, as far as the drill reads and writes it.
 
+use fernknot_config::Facts;
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -122,90 +123,6 @@
     pub router: u64,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Facts {
-    #[serde(default)]
-    pub accounts: Vec<Account>,
-    pub allowed: Allowed,
-    pub balancers: usize,
-    pub classes: Vec<Class>,
-    pub discovery: String,
-    pub family_info: FamilyInfo,
-    pub rules: Rules,
-    pub tick: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Account {
-    pub quota_per_s: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Allowed {
-    #[serde(default)]
-    pub cancel: bool,
-    #[serde(default)]
-    pub peers: bool,
-    pub try_limit: u32,
-    #[serde(default)]
-    pub max_retry_after: f64,
-    #[serde(default)]
-    pub retry_after: bool,
-    #[serde(default)]
-    pub second_copies: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Class {
-    #[serde(default)]
-    pub aim_stretch: f64,
-    pub on_time: f64,
-    pub deadline: f64,
-    pub effect: ClassEffect,
-    #[serde(default)]
-    pub late_share: f64,
-    #[serde(default)]
-    pub repeat_window: f64,
-    pub worth: f64,
-}
-
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum ClassEffect {
-    Safe,
-    Keyed,
-    Unsafe,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct FamilyInfo {
-    pub places: u32,
-    pub width: u32,
-    #[serde(default)]
-    pub class_fetch: Vec<f64>,
-    #[serde(default)]
-    pub min_share: Vec<f64>,
-    #[serde(default)]
-    pub class_need: Vec<f64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Rules {
-    pub free_resends: Option<f64>,
-    pub extra_share: Option<f64>,
-    pub counted_over: Option<f64>,
-    pub cold_from: f64,
-    pub cold: f64,
-    pub fall_multiple: f64,
-    pub fall: f64,
-}
-
 #[derive(Serialize)]
 pub struct Reply {
     pub output: Vec<Action>,
--- /dev/null
+++ b/crates/fernknot-protocol/src/frames.rs
@@ -0,0 +1,113 @@
+//! Frames between a router and a data node: a length, a letter and the rest.
+
+use crate::buffer::Buffer;
+use fernknot::interface::LoadReport;
+use fernknot_config::Limits;
+use std::io::Write;
+
+/// One part of a call.
+pub struct CallPart<'a> {
+    pub id: &'a str,
+    pub shard: u32,
+    /// Milliseconds that the router will wait.
+    pub wait: u64,
+    pub key: Option<&'a str>,
+    pub text: &'a str,
+}
+
+pub fn call<'a>(out: &mut Buffer, parts: impl Iterator<Item = CallPart<'a>>) {
+    let mut rest = Vec::new();
+    for part in parts {
+        let key = part.key.map(|key| format!(",k={key}")).unwrap_or_default();
+        // Writing to a vector does not fail.
+        let _ = writeln!(rest, "{} {} d={}{key} {}", part.id, part.shard, part.wait, part.text.len());
+        rest.extend_from_slice(part.text.as_bytes());
+    }
+    frame(out, b'A', &rest);
+}
+
+pub fn give_up(out: &mut Buffer, id: &str) {
+    frame(out, b'B', id.as_bytes());
+}
+
+/// The form of every frame, for both sides.
+pub fn frame(out: &mut Buffer, letter: u8, rest: &[u8]) {
+    out.push(&(rest.len() as u32 + 1).to_le_bytes());
+    out.push(&[letter]);
+    out.push(rest);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Hit,
+    Fault,
+    Overload,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Frame {
+    Ended {
+        id: String,
+        end: End,
+        report: LoadReport,
+        value: Vec<u8>,
+    },
+    /// A probe's answer; this router sends none.
+    Probed,
+    /// The node could not use a frame and closes.
+    Unusable(String),
+}
+
+/// The next frame's letter and rest, and its length in all.
+pub fn next<'a>(buffer: &'a Buffer, limits: &Limits) -> Result<Option<(u8, &'a [u8], usize)>, &'static str> {
+    let Some((head, rest)) = buffer.data().split_first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_le_bytes(*head) as usize;
+    if length == 0 || length > limits.frame {
+        return Err("a frame's length is unfit");
+    }
+    if rest.len() < length {
+        return Ok(None);
+    }
+    Ok(Some((rest[0], &rest[1..length], 4 + length)))
+}
+
+pub fn read(buffer: &mut Buffer, limits: &Limits) -> Result<Option<Frame>, &'static str> {
+    let Some((letter, rest, length)) = next(buffer, limits)? else { return Ok(None) };
+    let frame = match letter {
+        b'C' | b'D' => Frame::Probed,
+        b'E' => ended(rest)?,
+        b'F' => Frame::Unusable(String::from_utf8_lossy(rest).into_owned()),
+        _ => return Err("a frame's letter is unknown"),
+    };
+    buffer.consume(length);
+    Ok(Some(frame))
+}
+
+fn ended(rest: &[u8]) -> Result<Frame, &'static str> {
+    let line = rest.iter().position(|byte| *byte == b'\n').ok_or("an answer has no line")?;
+    let text = std::str::from_utf8(&rest[..line]).map_err(|_| "an answer's line is no text")?;
+    let mut words = text.split(' ');
+    let mut word = || words.next().ok_or("an answer's line is short");
+    let (id, end, _score, report) = (word()?, word()?, word()?, word()?);
+    let end = match end {
+        "hit" => End::Hit,
+        "fault" => End::Fault,
+        "overload" => End::Overload,
+        _ => return Err("an answer's end is unknown"),
+    };
+    Ok(Frame::Ended { id: id.to_string(), end, report: report_of(report), value: rest[line + 1..].to_vec() })
+}
+
+/// A node's account of itself, as far as the module asks for it; `-` where there is none.
+fn report_of(text: &str) -> LoadReport {
+    let mut report = LoadReport::default();
+    for (name, value) in text.split(',').filter_map(|field| field.split_once('=')) {
+        let value = value.parse::<f64>().ok().filter(|value| value.is_finite());
+        match name {
+            "util" => report.busy_share = value,
+            "queue" => report.waiting = value,
+            _ => {}
+        }
+    }
+    report
+}
--- a/crates/fernknot-drill/src/peers.rs
+++ b/crates/fernknot-protocol/src/news.rs
@@ -1,5 +1,5 @@
-//! What routers tell each other, as bytes in hex: how many hand-offs were sent, two bytes for the
-//! node of each; then, for each one that ended, two bytes for its node and one for how it ended.
+//! What routers tell each other, as bytes: how many hand-offs were sent, two bytes for the node of
+//! each; then, for each one that ended, two bytes for its node and one for how it ended.
 
 use fernknot::interface::{Nanos, News, NodeId};
 use std::collections::HashMap;
@@ -27,13 +27,20 @@
         self.nodes.entry(tag).and_modify(|node| *node = None).or_insert(Some(node));
     }
 
-    pub fn write(&self, news: &[(NodeId, News)]) -> String {
+    /// The messages that hold all news, each of at most so many bytes. A node without a name is
+    /// left out.
+    pub fn write(&self, news: &[(NodeId, News)], most: usize) -> Vec<Vec<u8>> {
         let (sent, ended): (Vec<_>, Vec<_>) = news.iter().partition(|(_, what)| *what == News::Sent);
-        let mut bytes = vec![sent.len() as u8];
+        let mut messages = Vec::new();
+        let mut bytes = vec![0];
         for (node, what) in sent.into_iter().chain(ended) {
-            bytes.extend(self.of[node.0 as usize].to_be_bytes());
+            let Some(tag) = self.of.get(node.0 as usize) else { continue };
+            if bytes.len() + 3 > most || bytes[0] == u8::MAX {
+                messages.push(std::mem::replace(&mut bytes, vec![0]));
+            }
+            bytes.extend(tag.to_be_bytes());
             match what {
-                News::Sent => {}
+                News::Sent => bytes[0] += 1,
                 News::Answered(took) => {
                     let code = (took.as_millis() * 10.0).max(1.0).log2() * STEPS;
                     bytes.push(code.round().min(f64::from(OVERDUE - 1)) as u8);
@@ -42,14 +49,12 @@
                 News::Failed => bytes.push(FAILED),
             }
         }
-        bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+        messages.extend((bytes.len() > 1).then_some(bytes));
+        messages
     }
 
     /// What can be read of a message; nothing of it is trusted to be whole.
-    pub fn read(&self, hex: &str) -> Vec<(NodeId, News)> {
-        let digits: Vec<u8> =
-            hex.chars().filter_map(|digit| digit.to_digit(16)).map(|digit| digit as u8).collect();
-        let bytes: Vec<u8> = digits.chunks_exact(2).map(|pair| pair[0] << 4 | pair[1]).collect();
+    pub fn read(&self, bytes: &[u8]) -> Vec<(NodeId, News)> {
         let Some((sent, rest)) = bytes.split_first() else { return Vec::new() };
         let (sent, ended) = rest.split_at(rest.len().min(2 * usize::from(*sent)));
         let sent = sent.chunks_exact(2).map(|tag| (tag, News::Sent));
@@ -84,13 +89,15 @@
             (NodeId(1), News::Failed),
             (NodeId(0), took),
         ];
-        let hex = tags.write(&news);
-        let read = tags.read(&hex);
+        let messages = tags.write(&news, 256);
+        let read = tags.read(&messages[0]);
         assert_eq!(read[..3], news[..3]);
         let (node, News::Answered(told)) = read[3] else { panic!("{read:?}") };
         assert!(node == NodeId(0) && (180.0..220.0).contains(&told.as_millis()));
-        assert_eq!(tags.read(&hex[..hex.len() - 1]), news[..3]);
-        assert_eq!(Tags::default().read(&hex), []);
-        assert_eq!(tags.read("ffé"), []);
+        assert_eq!(tags.read(&messages[0][..messages[0].len() - 1]), news[..3]);
+        assert_eq!(Tags::default().read(&messages[0]), []);
+        let split = tags.write(&news, 8);
+        assert!(split.len() > 1 && split.iter().all(|message| message.len() <= 8));
+        assert_eq!(split.iter().flat_map(|message| tags.read(message)).count(), news.len());
     }
 }
--- /dev/null
+++ b/crates/fernknot-router/src/app.rs
@@ -0,0 +1,239 @@
+//! The loop: each turn reads all that is ready, tells the module, pulls decisions until there are
+//! none, and writes.
+
+use crate::clients::{ClientId, Clients};
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::discovery::Discovery;
+use crate::link::Handle;
+use crate::logs::Lines;
+use crate::nodes::{LinkId, Nodes};
+use crate::peers::Peers;
+use crate::table::Table;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Readiness};
+use fernknot::decide::Router;
+use fernknot::interface::*;
+use fernknot_config::{Limits, SocketFacts, Start};
+use slog::{Logger, info};
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    Listener,
+    Client(ClientId),
+    Node(LinkId),
+    Discovery,
+    Peers,
+}
+
+/// What a time that has come is for. One that no longer matters is passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    Wake,
+    StopAt(PartId, HandOffNo),
+    Connect(LinkId),
+    NodeIdle(LinkId),
+    DrainGrace(NodeId),
+    Client(ClientId),
+    Accept,
+    Discovery,
+    Linger,
+}
+
+pub struct App {
+    pub log: Logger,
+    lines: Lines,
+    pub handle: Handle,
+    clock: Clock,
+    /// When the running turn began.
+    pub now: Nanos,
+    pub limits: Limits,
+    pub facts: SocketFacts,
+    pub counters: Counters,
+    pub module: Router,
+    pub table: Table,
+    pub clients: Clients,
+    pub nodes: Nodes,
+    pub discovery: Discovery,
+    pub peers: Option<Peers>,
+    pub ready: Vec<(Source, Readiness)>,
+    pub timers: BTreeSet<(Nanos, Timer)>,
+    wake: Option<Nanos>,
+    pub endings: VecDeque<Ending>,
+    /// The order to stop has come.
+    pub stopping: bool,
+    pub lingered: bool,
+}
+
+pub fn run(start: Start) -> Result<(), String> {
+    let (lines, log) = Lines::new(start.limits.log, slog::Level::Info);
+    let told = |what: &'static str| move |error: std::io::Error| format!("{what}: {error}");
+    let mut events: EventLoop<'static, App> =
+        EventLoop::try_new().map_err(|error| format!("event loop: {error}"))?;
+    let handle = events.handle();
+    let signals =
+        Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|error| format!("signals: {error}"))?;
+    handle
+        .insert_source(signals, |_, _, app: &mut App| app.stop())
+        .map_err(|error| format!("signals: {error}"))?;
+    let clock = Clock::new();
+    let now = clock.now();
+    let clients = Clients::new(&handle, start.listen).map_err(told("listen"))?;
+    let peers = start.told.map(|told| Peers::new(&handle, told, start.sockets.position));
+    let mut app = App {
+        lines,
+        clock,
+        now,
+        module: Router::new(start.seed, start.site, now),
+        facts: start.sockets,
+        counters: Counters::default(),
+        table: Table::default(),
+        clients,
+        nodes: Nodes::default(),
+        discovery: Discovery::new(start.discovery),
+        peers: peers.transpose().map_err(told("peer_listen"))?,
+        ready: Vec::new(),
+        timers: BTreeSet::new(),
+        wake: None,
+        endings: VecDeque::new(),
+        stopping: false,
+        lingered: false,
+        limits: start.limits,
+        log,
+        handle,
+    };
+    info!(app.log, "started"; "name" => start.name, "listen" => %start.listen);
+    app.start_lists(start.known.as_deref().map(|known| known.get()));
+    app.turn();
+    while !app.is_done() {
+        let timeout = app.timeout();
+        events.dispatch(Some(timeout), &mut app).map_err(|error| format!("event loop: {error}"))?;
+        app.turn();
+    }
+    info!(app.log, "stopped"; "counters" => app.counters.text().trim().replace('\n', ", "));
+    app.lines.flush();
+    Ok(())
+}
+
+impl App {
+    fn timeout(&self) -> Duration {
+        if self.clients.has_more() || self.nodes.has_more() {
+            return Duration::ZERO;
+        }
+        let next = self.timers.first().map_or(self.now + Nanos(1_000_000_000), |(at, _)| *at);
+        // The loop's own waiting rounds down by less than this.
+        Duration::from_nanos((next - self.clock.now()).0)
+    }
+
+    fn stop(&mut self) {
+        if !self.stopping {
+            info!(self.log, "told to stop"; "owed" => self.table.owed);
+            self.stopping = true;
+            self.timers.insert((self.now + self.limits.linger, Timer::Linger));
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        self.lingered && self.table.owed == 0 && !self.clients.are_busy()
+    }
+
+    fn turn(&mut self) {
+        self.now = self.clock.now();
+        self.counters.turns += 1;
+        if let Some((at, _)) = self.timers.first() {
+            let late = (self.now - *at).0 / 1000;
+            self.counters.longest_late_us = self.counters.longest_late_us.max(late);
+        }
+        for (source, readiness) in std::mem::take(&mut self.ready) {
+            match source {
+                Source::Listener => self.accept(),
+                Source::Client(id) => self.client_ready(id, readiness),
+                Source::Node(id) => self.node_ready(id, readiness),
+                Source::Discovery => self.discovery_ready(readiness),
+                Source::Peers => self.hear_peers(),
+            }
+        }
+        self.read_more_clients();
+        self.read_more_nodes();
+        while let Some((at, timer)) = self.timers.first().copied().filter(|(at, _)| *at <= self.now) {
+            self.timers.remove(&(at, timer));
+            self.due(timer);
+        }
+        if self.stopping {
+            self.end_idle_clients();
+        }
+        loop {
+            self.clients.took = false;
+            while let Some(ending) = self.endings.pop_front() {
+                self.module.ended(self.now, &ending);
+                self.table.forget(ending.part.of);
+            }
+            while let Some(decision) = self.module.next(self.now) {
+                self.act(decision);
+            }
+            self.place_calls();
+            self.flush_nodes();
+            self.flush_clients();
+            if self.endings.is_empty() && !std::mem::take(&mut self.clients.took) {
+                break;
+            }
+        }
+        self.lines.flush();
+        let took = (self.clock.now() - self.now).0 / 1000;
+        self.counters.longest_turn_us = self.counters.longest_turn_us.max(took);
+    }
+
+    fn due(&mut self, timer: Timer) {
+        match timer {
+            Timer::Wake => self.wake = None,
+            Timer::StopAt(part, no) => self.stop_waiting(part, no),
+            Timer::Connect(id) => self.connect_late(id),
+            Timer::NodeIdle(id) => self.node_idle(id),
+            Timer::DrainGrace(node) => self.drained(node),
+            Timer::Client(id) => self.client_due(id),
+            Timer::Accept => self.accept(),
+            Timer::Discovery => self.discovery_due(),
+            Timer::Linger => {
+                self.accept();
+                self.clients.stop_listening();
+                self.lingered = true;
+            }
+        }
+    }
+
+    /// Carries out one decision.
+    fn act(&mut self, decision: Decision) {
+        match decision {
+            Decision::HandOff { part, node, stop_at } => self.hand_off(part, node, stop_at),
+            Decision::CallOff { part, no } => self.call_off(part, no),
+            Decision::Settle { multiget, whole, .. } => self.settle(multiget, whole),
+            Decision::Dismiss { multiget, wait } => {
+                self.counters.dismissed += 1;
+                self.refuse(multiget, 503, "dismissed", Some(wait).filter(|wait| wait.0 > 0));
+            }
+            Decision::BreakOff { multiget } => {
+                self.counters.broken_off += 1;
+                self.refuse(multiget, 502, "broken off", None);
+            }
+            // Discovery is watched from the start, whether or not that must be asked for.
+            Decision::FollowList => {}
+            Decision::HangUp { node } => self.hang_up(node),
+            Decision::Tell { news } => {
+                if let Some(peers) = &mut self.peers {
+                    peers.tell(&news, &self.limits, &mut self.counters);
+                }
+            }
+            Decision::Wake { after } => {
+                let at = self.now + after;
+                if self.wake.is_none_or(|set| at < set) {
+                    if let Some(set) = self.wake.replace(at) {
+                        self.timers.remove(&(set, Timer::Wake));
+                    }
+                    self.timers.insert((at, Timer::Wake));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernknot-router/src/clients.rs
@@ -0,0 +1,427 @@
+//! Clients' connections: requests in, final answers out.
+
+use crate::app::{App, Source, Timer};
+use crate::link::{Filled, Handle, Link, watch};
+use calloop::{Readiness, RegistrationToken};
+use fernknot::interface::*;
+use fernknot_protocol::http::{Answer, GO_ON, Request, RequestReader};
+use fernknot_protocol::multiget;
+use slog::warn;
+use std::collections::HashMap;
+use std::io::{ErrorKind, Result};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientId(pub u64);
+
+/// Where a connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Awaits a request or its rest.
+    Reading,
+    /// Its multiget is with the module.
+    Held(MultigetId),
+    /// Its answer is being written.
+    Writing,
+    /// It has been ended and waits for the client to close, so that no answer is destroyed.
+    Ending,
+}
+
+struct Client {
+    link: Link,
+    reader: RequestReader,
+    stage: Stage,
+    /// Of the request in hand: the connection goes on after it, and it is HTTP/1.0.
+    keep: bool,
+    old: bool,
+    /// Requests that came over it.
+    requests: u64,
+    /// When bytes last came or went.
+    moved: Nanos,
+    due: Nanos,
+    /// It was sent an interim answer to learn whether it has gone or only finished sending.
+    sounded: bool,
+}
+
+impl Client {
+    fn is_idle(&self) -> bool {
+        self.stage == Stage::Reading && self.link.input.is_empty() && !self.reader.is_open()
+    }
+}
+
+pub struct Clients {
+    listener: Option<(Rc<TcpListener>, RegistrationToken)>,
+    handle: Handle,
+    by_id: HashMap<ClientId, Client>,
+    next: u64,
+    /// Connections wait because there are too many.
+    paused: bool,
+    /// Clients with more to read, and with something to write.
+    more: Vec<ClientId>,
+    dirty: Vec<ClientId>,
+    /// A request was taken since the module was last asked.
+    pub took: bool,
+}
+
+impl Clients {
+    pub fn new(handle: &Handle, listen: SocketAddr) -> Result<Clients> {
+        let listener = Rc::new(TcpListener::bind(listen)?);
+        listener.set_nonblocking(true)?;
+        let token = watch(handle, listener.clone(), Source::Listener)?;
+        Ok(Clients {
+            listener: Some((listener, token)),
+            handle: handle.clone(),
+            by_id: HashMap::new(),
+            next: 0,
+            paused: false,
+            more: Vec::new(),
+            dirty: Vec::new(),
+            took: false,
+        })
+    }
+
+    pub fn has_more(&self) -> bool {
+        !self.more.is_empty()
+    }
+
+    pub fn stop_listening(&mut self) {
+        if let Some((_, token)) = self.listener.take() {
+            self.handle.remove(token);
+        }
+    }
+
+    /// Whether any connection is between a request's first byte and the answer's last.
+    pub fn are_busy(&self) -> bool {
+        self.by_id.values().any(|client| !client.is_idle())
+    }
+}
+
+impl App {
+    /// Accepts what waits, up to the limit; there, idle connections make room.
+    pub fn accept(&mut self) {
+        while let Some(listener) = self.clients.listener.as_ref().map(|(listener, _)| listener.clone()) {
+            if self.clients.by_id.len() >= self.limits.clients && !self.end_oldest_idle() {
+                self.clients.paused = true;
+                return;
+            }
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let id = ClientId(self.clients.next);
+                    self.clients.next += 1;
+                    match Link::new(&self.handle, stream, Source::Client(id)) {
+                        Ok(link) => self.add_client(id, link),
+                        Err(error) => warn!(self.log, "a client is not served"; "why" => error.to_string()),
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                // The client went before it was accepted.
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(error) => {
+                    // Guards against a loop that spins while descriptors have run out.
+                    self.counters.client_connections_refused += 1;
+                    warn!(self.log, "accepting waits"; "why" => error.to_string());
+                    self.timers.insert((self.now + self.limits.accept_again, Timer::Accept));
+                    return;
+                }
+            }
+        }
+    }
+
+    fn add_client(&mut self, id: ClientId, link: Link) {
+        self.counters.client_connections += 1;
+        let due = self.now + self.limits.client_stalls;
+        self.timers.insert((due, Timer::Client(id)));
+        let client = Client {
+            link,
+            reader: RequestReader::default(),
+            stage: Stage::Reading,
+            keep: true,
+            old: false,
+            requests: 0,
+            moved: self.now,
+            due,
+            sounded: false,
+        };
+        self.clients.by_id.insert(id, client);
+        self.read_client(id);
+    }
+
+    fn end_oldest_idle(&mut self) -> bool {
+        let idle = self.clients.by_id.iter().filter(|(_, client)| client.is_idle());
+        let Some((_, id)) = idle.map(|(id, client)| (client.moved, *id)).min() else { return false };
+        self.drop_client(id);
+        true
+    }
+
+    fn drop_client(&mut self, id: ClientId) {
+        let Some(client) = self.clients.by_id.remove(&id) else { return };
+        self.timers.remove(&(client.due, Timer::Client(id)));
+        if std::mem::take(&mut self.clients.paused) {
+            self.timers.insert((self.now, Timer::Accept));
+        }
+    }
+
+    /// The client has closed or reset its connection.
+    fn client_gone(&mut self, id: ClientId) {
+        let Some(client) = self.clients.by_id.get(&id) else { return };
+        match client.stage {
+            Stage::Held(multiget) => {
+                self.counters.lapsed += 1;
+                self.clients.took = true;
+                self.module.lapsed(self.now, multiget);
+                self.table.over(multiget);
+            }
+            Stage::Writing => self.counters.answers_unread += 1,
+            Stage::Reading | Stage::Ending => {}
+        }
+        self.drop_client(id);
+    }
+
+    pub fn client_ready(&mut self, id: ClientId, readiness: Readiness) {
+        let Some(client) = self.clients.by_id.get_mut(&id) else { return };
+        client.link.readable |= readiness.readable || readiness.error;
+        if client.link.ended && client.link.connected().is_err() {
+            return self.client_gone(id);
+        }
+        self.read_client(id);
+    }
+
+    pub fn read_more_clients(&mut self) {
+        for id in std::mem::take(&mut self.clients.more) {
+            self.read_client(id);
+        }
+    }
+
+    fn read_client(&mut self, id: ClientId) {
+        let Some(client) = self.clients.by_id.get_mut(&id) else { return };
+        let held = client.link.input.len();
+        let filled = client.link.fill(self.limits.turn);
+        if client.link.input.len() > held {
+            client.moved = self.now;
+        }
+        if client.stage == Stage::Ending {
+            let left = client.link.input.len();
+            client.link.input.consume(left);
+        }
+        match filled {
+            Err(_) => return self.client_gone(id),
+            // While an answer is awaited no more is read than the buffer's limit.
+            Ok(Filled::Some) if matches!(client.stage, Stage::Reading | Stage::Ending) => {
+                self.clients.more.push(id);
+            }
+            Ok(_) => {}
+        }
+        self.advance(id);
+    }
+
+    /// Goes on with a connection as far as it will go now.
+    fn advance(&mut self, id: ClientId) {
+        while let Some(client) = self.clients.by_id.get_mut(&id) {
+            match client.stage {
+                Stage::Reading => match client.reader.read(&mut client.link.input, &self.limits) {
+                    Ok(Some(request)) => self.request(id, request),
+                    Ok(None) if client.link.ended => return self.drop_client(id),
+                    Ok(None) => {
+                        client.link.input.shrink(self.limits.kept);
+                        client.link.output.shrink(self.limits.kept);
+                        if !client.reader.wants_leave() {
+                            return;
+                        }
+                        client.link.output.push(GO_ON);
+                        if client.link.flush().is_err() {
+                            return self.client_gone(id);
+                        }
+                    }
+                    Err(bad) => {
+                        self.counters.bad_requests += 1;
+                        client.keep = false;
+                        self.answer(id, bad.status, None, bad.why.as_bytes());
+                    }
+                },
+                Stage::Held(_) => return self.sound(id),
+                Stage::Writing => match client.link.flush() {
+                    Err(_) => return self.client_gone(id),
+                    Ok(count) => {
+                        client.moved = if count > 0 { self.now } else { client.moved };
+                        if !client.link.output.is_empty() {
+                            return;
+                        }
+                        if client.keep {
+                            client.stage = Stage::Reading;
+                            if client.link.readable && !client.link.ended {
+                                self.clients.more.push(id);
+                            }
+                        } else {
+                            self.end_client(id);
+                        }
+                    }
+                },
+                Stage::Ending if client.link.ended => return self.drop_client(id),
+                Stage::Ending => return,
+            }
+        }
+    }
+
+    /// The client has finished sending: whether it has gone too shows only when it is sent
+    /// something, so it is sent an interim answer, which one that still listens passes over.
+    fn sound(&mut self, id: ClientId) {
+        let Some(client) = self.clients.by_id.get_mut(&id) else { return };
+        if client.link.ended && !client.old && !std::mem::replace(&mut client.sounded, true) {
+            client.link.output.push(GO_ON);
+        }
+        if client.link.flush().is_err() {
+            self.client_gone(id);
+        }
+    }
+
+    /// Ends a connection without destroying what is still on its way to the client.
+    fn end_client(&mut self, id: ClientId) {
+        let Some(client) = self.clients.by_id.get_mut(&id) else { return };
+        client.link.finish();
+        client.stage = Stage::Ending;
+        let left = client.link.input.len();
+        client.link.input.consume(left);
+        self.timers.remove(&(client.due, Timer::Client(id)));
+        client.due = self.now + self.limits.closing;
+        self.timers.insert((client.due, Timer::Client(id)));
+        self.clients.more.push(id);
+    }
+
+    /// Ends connections between requests while the router stops. One that has brought no request
+    /// yet is left until no more may come.
+    pub fn end_idle_clients(&mut self) {
+        let lingered = self.lingered;
+        let idle = |client: &Client| client.is_idle() && (client.requests > 0 || lingered);
+        let ids: Vec<ClientId> =
+            self.clients.by_id.iter().filter(|(_, client)| idle(client)).map(|(id, _)| *id).collect();
+        for id in ids {
+            if let Some(client) = self.clients.by_id.get_mut(&id) {
+                client.link.readable = true;
+                self.read_client(id);
+            }
+            if self.clients.by_id.get(&id).is_some_and(Client::is_idle) {
+                self.end_client(id);
+            }
+        }
+    }
+
+    pub fn client_due(&mut self, id: ClientId) {
+        let Some(client) = self.clients.by_id.get_mut(&id) else { return };
+        let still = match client.stage {
+            Stage::Reading if client.is_idle() => self.limits.client_idle,
+            Stage::Reading | Stage::Writing => self.limits.client_stalls,
+            Stage::Held(_) => Nanos(u64::MAX),
+            Stage::Ending => return self.drop_client(id),
+        };
+        let end = client.moved + still;
+        if end > self.now {
+            client.due = end.min(self.now + self.limits.client_stalls);
+            self.timers.insert((client.due, Timer::Client(id)));
+        } else if client.is_idle() {
+            self.end_client(id);
+        } else {
+            self.client_gone(id);
+        }
+    }
+
+    fn request(&mut self, id: ClientId, request: Request) {
+        let Some(client) = self.clients.by_id.get_mut(&id) else { return };
+        client.keep = request.keep && !self.stopping;
+        client.old = request.old;
+        client.requests += 1;
+        match (request.method.as_str(), request.path()) {
+            ("GET" | "HEAD", "/up") => {
+                let up = self.discovery.has_list && !self.stopping;
+                let (status, words) = if up { (200, "up\n") } else { (503, "not ready\n") };
+                self.answer(id, status, None, words.as_bytes());
+            }
+            ("GET", "/counters") => {
+                let text = self.counters.text();
+                self.answer(id, 200, None, text.as_bytes());
+            }
+            _ => match multiget::asked(&request, &self.facts, &self.limits) {
+                Ok(asked) => self.take(id, asked),
+                Err((status, why)) => {
+                    self.counters.bad_requests += 1;
+                    self.answer(id, status, None, why.as_bytes());
+                }
+            },
+        }
+    }
+
+    fn take(&mut self, id: ClientId, mut asked: multiget::Asked) {
+        let client_end = self.now + asked.wait;
+        let multiget = self.table.take(id, client_end, &mut asked);
+        self.counters.multigets_taken += 1;
+        self.counters.multigets_repeated += u64::from(asked.repeat);
+        self.counters.parts_taken += asked.parts.len() as u64;
+        // A guess at the whole work is one only if there is one for each part.
+        let add = |sum: Option<Nanos>, part: &multiget::AskedPart| Some(sum? + part.effort?);
+        let effort = asked.parts.iter().fold(Some(Nanos(0)), add);
+        self.module.take(
+            self.now,
+            &Arrival {
+                multiget,
+                use_case: asked.use_case,
+                customer: CustomerId(0),
+                client_end,
+                repeat: asked.repeat,
+                effort,
+            },
+        );
+        for (index, part) in asked.parts.iter().enumerate() {
+            let id = PartId { of: multiget, index };
+            let arrival =
+                PartArrival { part: id, shard: part.shard, weight: part.weight, effort: part.effort };
+            self.module.take_part(self.now, &arrival);
+        }
+        self.clients.took = true;
+        if let Some(client) = self.clients.by_id.get_mut(&id) {
+            client.stage = Stage::Held(multiget);
+            client.sounded = false;
+        }
+    }
+
+    /// Puts an answer on its way.
+    fn answer(&mut self, id: ClientId, status: u16, wait: Option<f64>, body: &[u8]) {
+        let Some(client) = self.clients.by_id.get_mut(&id) else { return };
+        client.keep &= !self.stopping;
+        let kind = if status == 200 && body.starts_with(b"{") { "application/json" } else { "text/plain" };
+        Answer { status, kind, wait, keep: client.keep, old: client.old }
+            .write(&mut client.link.output, body);
+        client.stage = Stage::Writing;
+        client.moved = self.now;
+        self.clients.dirty.push(id);
+    }
+
+    /// Gives the final answer from the parts that are in.
+    pub fn settle(&mut self, multiget: MultigetId, whole: bool) {
+        let Some(held) = self.table.get(multiget).filter(|held| !held.over) else { return };
+        let found = |part: &crate::table::PartState| Some((part.shard, part.value.clone()?));
+        let found: Vec<(ShardId, String)> = held.parts.iter().filter_map(found).collect();
+        let body = multiget::settled(whole, found.iter().map(|(shard, value)| (*shard, value.as_str())));
+        let client = held.client;
+        match whole {
+            true => self.counters.settled_whole += 1,
+            false => self.counters.settled_in_part += 1,
+        }
+        self.answer(client, 200, None, &body);
+        self.table.over(multiget);
+    }
+
+    /// Gives a final answer without any part.
+    pub fn refuse(&mut self, multiget: MultigetId, status: u16, words: &str, wait: Option<Nanos>) {
+        let Some(held) = self.table.get(multiget).filter(|held| !held.over) else { return };
+        let client = held.client;
+        self.answer(client, status, wait.map(|wait| wait.as_millis() / 1e3), words.as_bytes());
+        self.table.over(multiget);
+    }
+
+    pub fn flush_clients(&mut self) {
+        for id in std::mem::take(&mut self.clients.dirty) {
+            self.advance(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernknot-router/src/table.rs
@@ -0,0 +1,96 @@
+//! The table between sockets and module: what is held of each multiget, its parts and hand-offs.
+
+use crate::clients::ClientId;
+use crate::nodes::LinkId;
+use fernknot::interface::*;
+use fernknot_protocol::multiget::Asked;
+use std::collections::HashMap;
+
+pub struct HandOffState {
+    pub node: NodeId,
+    pub sent: Nanos,
+    pub stop_at: Nanos,
+    pub link: Option<LinkId>,
+    /// Its end has been told to the module.
+    pub over: bool,
+}
+
+pub struct PartState {
+    pub shard: ShardId,
+    /// What it is called in frames.
+    pub id: String,
+    /// The value of the first answer.
+    pub value: Option<String>,
+    pub hand_offs: Vec<HandOffState>,
+}
+
+pub struct Held {
+    pub client: ClientId,
+    pub client_end: Nanos,
+    pub key: Option<String>,
+    pub text: String,
+    pub parts: Vec<PartState>,
+    /// Hand-offs whose end has not been told.
+    pub out: usize,
+    /// It has had its final answer, or its client has gone.
+    pub over: bool,
+}
+
+#[derive(Default)]
+pub struct Table {
+    held: HashMap<MultigetId, Held>,
+    next: u64,
+    /// Multigets that are owed an answer.
+    pub owed: usize,
+}
+
+impl Table {
+    pub fn take(&mut self, client: ClientId, client_end: Nanos, asked: &mut Asked) -> MultigetId {
+        let id = MultigetId(self.next);
+        self.next += 1;
+        self.owed += 1;
+        let part = |shard: ShardId| PartState {
+            shard,
+            id: format!("{}.{}", asked.id, shard.0),
+            value: None,
+            hand_offs: Vec::new(),
+        };
+        let parts = asked.parts.iter().map(|asked| part(asked.shard)).collect();
+        let (key, text) = (asked.key.take(), std::mem::take(&mut asked.text));
+        self.held.insert(id, Held { client, client_end, key, text, parts, out: 0, over: false });
+        id
+    }
+
+    pub fn get(&self, id: MultigetId) -> Option<&Held> {
+        self.held.get(&id)
+    }
+
+    pub fn get_mut(&mut self, id: MultigetId) -> Option<&mut Held> {
+        self.held.get_mut(&id)
+    }
+
+    pub fn part(&self, id: PartId) -> Option<&PartState> {
+        self.held.get(&id.of)?.parts.get(id.index)
+    }
+
+    pub fn hand_off(&mut self, id: PartId, no: HandOffNo) -> Option<&mut HandOffState> {
+        let part = self.held.get_mut(&id.of)?.parts.get_mut(id.index)?;
+        part.hand_offs.get_mut(no.0 as usize)
+    }
+
+    /// Marks the multiget as answered; true if that was still owed.
+    pub fn over(&mut self, id: MultigetId) -> bool {
+        let Some(held) = self.held.get_mut(&id).filter(|held| !held.over) else { return false };
+        held.over = true;
+        self.owed -= 1;
+        self.forget(id);
+        true
+    }
+
+    /// Drops what nothing can name any more.
+    pub fn forget(&mut self, id: MultigetId) {
+        if self.held.get(&id).is_some_and(|held| held.over && held.out == 0) {
+            self.held.remove(&id);
+        }
+    }
+}
