--- a/crates/fernknot-protocol/src/frames.rs
+++ b/crates/fernknot-protocol/src/frames.rs
@@ -58,8 +58,14 @@
     Unusable(String),
 }
 
-/// The next frame's letter and rest, and its length in all.
-pub fn next<'a>(buffer: &'a Buffer, limits: &Limits) -> Result<Option<(u8, &'a [u8], usize)>, &'static str> {
+/// A frame as it came, and the bytes that it takes in all.
+pub struct RawFrame<'a> {
+    pub letter: u8,
+    pub rest: &'a [u8],
+    pub length: usize,
+}
+
+pub fn next<'a>(buffer: &'a Buffer, limits: &Limits) -> Result<Option<RawFrame<'a>>, &'static str> {
     let Some((head, rest)) = buffer.data().split_first_chunk::<4>() else { return Ok(None) };
     let length = u32::from_le_bytes(*head) as usize;
     if length == 0 || length > limits.frame {
@@ -68,11 +74,11 @@
     if rest.len() < length {
         return Ok(None);
     }
-    Ok(Some((rest[0], &rest[1..length], 4 + length)))
+    Ok(Some(RawFrame { letter: rest[0], rest: &rest[1..length], length: 4 + length }))
 }
 
 pub fn read(buffer: &mut Buffer, limits: &Limits) -> Result<Option<Frame>, &'static str> {
-    let Some((letter, rest, length)) = next(buffer, limits)? else { return Ok(None) };
+    let Some(RawFrame { letter, rest, length }) = next(buffer, limits)? else { return Ok(None) };
     let frame = match letter {
         b'C' | b'D' => Frame::Probed,
         b'E' => ended(rest)?,
