--- a/crates/fernknot-protocol/src/lib.rs
+++ b/crates/fernknot-protocol/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod http;
 pub mod multiget;
 pub mod news;
+pub mod outbox;
 pub mod report;
--- a/crates/fernknot-router/src/nodes.rs
+++ b/crates/fernknot-router/src/nodes.rs
@@ -6,7 +6,8 @@
 use fernknot::interface::*;
 use fernknot_protocol::discovery::List;
 use fernknot_protocol::frames::{self, CallPart, End, Frame};
-use slog::warn;
+use fernknot_protocol::outbox::Outbox;
+use slog::{debug, warn};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -45,13 +46,6 @@
     GiveUp(String),
 }
 
-/// A frame in the output buffer, by the connection's count of bytes.
-struct Encoded {
-    from: u64,
-    to: u64,
-    item: Item,
-}
-
 struct NodeLink {
     node: NodeId,
     link: Link,
@@ -59,9 +53,7 @@
     /// The node has moved or started anew since; it takes nothing new.
     old: bool,
     waiting: VecDeque<Item>,
-    encoded: VecDeque<Encoded>,
-    bytes_encoded: u64,
-    bytes_written: u64,
+    outbox: Outbox<Item>,
     /// What is out on it, by the parts' ids.
     carried: HashMap<String, Carried>,
     /// Calls with parts that are out, and how many.
@@ -292,7 +284,7 @@
             Ok(link) => link,
             Err(error) => {
                 self.counters.node_connects_failed += 1;
-                warn!(self.log, "no connection"; "node" => %address, "why" => error.to_string());
+                debug!(self.log, "no connection"; "node" => %address, "why" => error.to_string());
                 return None;
             }
         };
@@ -306,9 +298,7 @@
             up: false,
             old: false,
             waiting: VecDeque::new(),
-            encoded: VecDeque::new(),
-            bytes_encoded: 0,
-            bytes_written: 0,
+            outbox: Outbox::default(),
             carried: HashMap::new(),
             calls: HashMap::new(),
             next_call: 0,
@@ -537,34 +527,21 @@
         while self.nodes.links.get(&id).is_some_and(|held| held.up) {
             self.encode(id);
             let Some(held) = self.nodes.links.get_mut(&id) else { return };
-            match held.link.flush() {
-                Err(_) => return self.link_broken(id),
-                Ok(count) => held.bytes_written += count as u64,
-            }
-            let blocked = !held.link.output.is_empty();
-            if held.link.output.is_empty() {
-                held.link.output.shrink(self.limits.kept);
-            }
-            let written = held.bytes_written;
-            for frame in held.encoded.iter().take_while(|frame| frame.from < written) {
-                let Item::Call(parts) = &frame.item else { continue };
-                let stage = if frame.to <= written { Stage::Written } else { Stage::Begun };
-                for (part, _) in parts {
-                    let carried = self.table.part(*part).and_then(|part| held.carried.get_mut(&part.id));
-                    carried.into_iter().for_each(|carried| carried.stage = stage);
+            let Ok(count) = held.link.flush() else { return self.link_broken(id) };
+            let NodeLink { outbox, carried, link, waiting, .. } = held;
+            outbox.wrote(count, |item, whole| {
+                let Item::Call(parts) = item else { return };
+                for part in parts.iter().filter_map(|(part, _)| self.table.part(*part)) {
+                    if let Some(carried) = carried.get_mut(&part.id) {
+                        carried.stage = if whole { Stage::Written } else { Stage::Begun };
+                    }
                 }
+            });
+            let blocked = !link.output.is_empty();
+            while let Some(item) = outbox.take_back(&mut link.output) {
+                waiting.push_front(item);
             }
-            while held.encoded.front().is_some_and(|frame| frame.to <= written) {
-                held.encoded.pop_front();
-            }
-            // No frame of which no byte has gone out stays in the buffer, so that it can still be
-            // taken back.
-            while held.encoded.back().is_some_and(|frame| frame.from >= written) {
-                let Some(frame) = held.encoded.pop_back() else { break };
-                held.link.output.truncate((frame.from - written) as usize);
-                held.bytes_encoded = frame.from;
-                held.waiting.push_front(frame.item);
-            }
+            link.output.shrink(self.limits.kept);
             if blocked || held.waiting.is_empty() {
                 break;
             }
@@ -620,9 +597,7 @@
                 }
             }
             held.used = self.now;
-            let from = held.bytes_encoded;
-            held.bytes_encoded += (held.link.output.len() - before) as u64;
-            held.encoded.push_back(Encoded { from, to: held.bytes_encoded, item });
+            held.outbox.add(held.link.output.len() - before, item);
         }
     }
 }
--- a/crates/fernknot-router/tests/end_to_end.rs
+++ b/crates/fernknot-router/tests/end_to_end.rs
@@ -372,6 +372,23 @@
     assert!(answer.contains("Connection: close"), "{answer}");
 }
 
+#[test]
+fn past_the_limit_of_connections_idle_ones_make_room() {
+    let discovery = Discovery::start("127.0.0.1:0").unwrap();
+    let node = DataNode::start(Behaviour::Answer).unwrap();
+    discovery.put("s-0", node.address, 0, "up");
+    let mut config = config();
+    config["limits"]["sockets"] = json!(64);
+    let router = Router::start(&config, discovery.address);
+    let mut idle: Vec<TcpStream> = (0..100).map(|_| router.connect()).collect();
+    assert!(router.ask("page", &[0], "5").starts_with("HTTP/1.1 200"));
+    assert_eq!(idle[0].read(&mut [0]).unwrap(), 0);
+    let last = idle.last_mut().unwrap();
+    last.write_all(request("page", &[0], "5", "").as_bytes()).unwrap();
+    assert!(read_answer(last).starts_with("HTTP/1.1 200"));
+    assert!(router.counter("client_connections") > 100);
+}
+
 #[test]
 fn a_missing_key_stops_the_start_with_its_name() {
     let mut config = config();
