Count the linger of a stopping router from the order, not from its last turn

Seen when trying the README's commands: an idle router told to stop was gone after 0.1 s of the 0.7 s. The order comes in the loop's callback, before the turn that reads the clock (app.rs, stop); busy routers hid it. The new test fails without it.

--- a/crates/fernknot-router/src/app.rs
+++ b/crates/fernknot-router/src/app.rs
@@ -129,6 +129,8 @@
 
     fn stop(&mut self) {
         if !self.stopping {
+            // Guards against a linger counted from the last turn, which may be long past when idle.
+            self.now = self.clock.now();
             info!(self.log, "told to stop"; "owed" => self.table.owed);
             self.stopping = true;
             self.timers.insert((self.now + self.limits.linger, Timer::Linger));
--- a/crates/fernknot-router/tests/end_to_end.rs
+++ b/crates/fernknot-router/tests/end_to_end.rs
@@ -301,6 +301,17 @@
     until("the second start", || again.try_get("/up").is_some_and(|up| up.starts_with("HTTP/1.1 200")));
 }
 
+#[test]
+fn told_to_stop_after_a_quiet_while_it_still_lets_clients_come() {
+    let (mut router, _nodes, _discovery) = deployment(&[Behaviour::Answer]);
+    let quiet = Instant::now();
+    until("a quiet while", || quiet.elapsed() > Duration::from_millis(900));
+    let told = Instant::now();
+    router.signal(Signal::TERM);
+    assert_eq!(router.child.wait().unwrap().code(), Some(0));
+    assert!(told.elapsed() > Duration::from_millis(600), "{:?}", told.elapsed());
+}
+
 #[test]
 fn routers_tell_each_other_and_what_strangers_send_is_dropped() {
     let (_first, nodes, discovery) = deployment(&[Behaviour::Answer]);
