--- a/crates/fernknot-config/src/start.rs
+++ b/crates/fernknot-config/src/start.rs
@@ -43,6 +43,8 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
+    /// Failed hand-offs and connections are logged too.
+    pub verbose: bool,
     /// The list as it was last known, in discovery's form.
     pub known: Option<Box<RawValue>>,
     pub told: Option<Told>,
@@ -72,6 +74,11 @@
         let name = given("ROUTER_NAME", "name", file.name)?;
         let listen = given("ROUTER_LISTEN", "listen", file.listen)?;
         let discovery = given("ROUTER_DISCOVERY", "discovery", file.discovery)?;
+        let verbose = match variable("ROUTER_LOG").as_deref() {
+            None | Some("info") => false,
+            Some("debug") => true,
+            Some(other) => return Err(format!("ROUTER_LOG: {other:?} is neither info nor debug")),
+        };
         let settings = |message: String| format!("settings.{message}");
         let mut site = file.settings.site().map_err(settings)?;
         // On sockets a multiget is one request with one answer: there is no second step.
@@ -99,6 +106,7 @@
             listen: address("listen", &listen)?,
             discovery: address("discovery", &discovery)?,
             seed,
+            verbose,
             known: file.known,
             told,
             limits: Limits::new(file.limits.sockets, file.limits.memory_mb, &sockets)?,
--- a/crates/fernknot-config/tests/start.rs
+++ b/crates/fernknot-config/tests/start.rs
@@ -69,6 +69,8 @@
     let variable = |name: &str| (name == "ROUTER_LISTEN").then(|| "127.0.0.1:9".to_string());
     let start = Start::parse(&changed("/settings/novel", json!([1])), variable).unwrap();
     assert_eq!((start.listen.port(), start.discovery.port(), start.name.as_str()), (9, 8500, "n0"));
+    let loud = |name: &str| (name == "ROUTER_LOG").then(|| "loud".to_string());
+    assert!(Start::parse(EXAMPLE, loud).unwrap_err().starts_with("ROUTER_LOG: "));
     assert_eq!(start.seed, 0x8c1f_30d2_7a5b_e964);
     assert_eq!(start.site.use_cases[2].effect, Effect::Referenced(Nanos(3_000_000_000)));
     assert!(start.sockets.use_cases[2].1 && !start.sockets.use_cases[0].1);
--- a/crates/fernknot-router/src/app.rs
+++ b/crates/fernknot-router/src/app.rs
@@ -15,7 +15,7 @@
 use fernknot::decide::Router;
 use fernknot::interface::*;
 use fernknot_config::{Limits, SocketFacts, Start};
-use slog::{Logger, info};
+use slog::{Level, Logger, info};
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -68,7 +68,8 @@
 }
 
 pub fn run(start: Start) -> Result<(), String> {
-    let (lines, log) = Lines::new(start.limits.log, slog::Level::Info);
+    let level = if start.verbose { Level::Debug } else { Level::Info };
+    let (lines, log) = Lines::new(start.limits.log, level);
     let told = |what: &'static str| move |error: std::io::Error| format!("{what}: {error}");
     let mut events: EventLoop<'static, App> =
         EventLoop::try_new().map_err(|error| format!("event loop: {error}"))?;
--- a/crates/fernknot-router/src/nodes.rs
+++ b/crates/fernknot-router/src/nodes.rs
@@ -365,6 +365,10 @@
             Outcome::NeverSent => &mut self.counters.outcome_never_sent,
         };
         *count += 1;
+        if !matches!(outcome, Outcome::Answered | Outcome::CalledOff | Outcome::NeverSent) {
+            let took = (self.now - sent).as_millis();
+            debug!(self.log, "a hand-off failed"; "node" => node.0, "how" => ?outcome, "took_ms" => took);
+        }
         self.endings.push_back(Ending { part, no, node, outcome, took: self.now - sent, report });
     }
 
