Bound what a slow or halfway client holds, in memory and in time

At fault were a read-ahead of 64 KiB whose buffer grew to twice that (250 KiB a client could be held against 128 KiB reckoned with) and a stall limit that each byte renewed. Answers past the protocol's 64 KiB are broken off; one turn reads at most 4,096 datagrams.

--- a/crates/fernknot-config/src/limits.rs
+++ b/crates/fernknot-config/src/limits.rs
@@ -27,10 +27,14 @@
     pub client_wait: Nanos,
     /// Past so many, the place of a node that is gone is given to a new one.
     pub nodes: usize,
-    /// Bytes that an idle connection's buffer may keep, and that one turn reads of one connection.
+    /// Bytes that an idle connection's buffer may keep.
     pub kept: usize,
+    /// Bytes of one connection that are read, or made ready to be written, ahead of what is done
+    /// with them; more than a head's.
     pub turn: usize,
+    /// Bytes of a datagram, and datagrams that one turn reads.
     pub datagram: usize,
+    pub datagrams: usize,
     /// Given-up parts that a connection remembers, to tell a late answer from a strange one.
     pub given_up: usize,
     /// Bytes of log that wait for standard error.
@@ -39,8 +43,9 @@
     pub node_idle: Nanos,
     pub connect_within: Nanos,
     pub drain_grace: Nanos,
-    /// A client's connection may be idle, take to send a request, and not read its answer for so long.
+    /// A client's connection may be idle for so long.
     pub client_idle: Nanos,
+    /// A client may take so long for all of a request, and for any of its answer.
     pub client_stalls: Nanos,
     /// How long the other side may take to close a connection that has been ended.
     pub closing: Nanos,
@@ -69,8 +74,10 @@
         let millis = |count: u64| Nanos(count * 1_000_000);
         let free = sockets - RESERVE;
         let body = 64 * 1024;
-        // Half the memory at most may stand in buffers, were every client to send all it may.
-        let affordable = (memory_mb * 1024.0 * 1024.0 / 2.0) as usize / (2 * body);
+        let turn = 24 * 1024;
+        // Half the memory at most may stand in buffers, were every client to send all it may: a
+        // body, and as much of what follows as is read ahead, in a buffer of up to twice that.
+        let affordable = (memory_mb * 1024.0 * 1024.0 / 2.0) as usize / (body + 2 * turn);
         Ok(Limits {
             clients: (free * 2 / 3).min(affordable.max(8)),
             node_links: free / 3,
@@ -84,8 +91,9 @@
             client_wait: seconds(24 * 3600),
             nodes: 4096,
             kept: 4 * 1024,
-            turn: 64 * 1024,
+            turn,
             datagram: 256,
+            datagrams: 4096,
             given_up: 1024,
             log: 64 * 1024,
             node_idle: facts.idle.times(0.8),
--- a/crates/fernknot-config/tests/start.rs
+++ b/crates/fernknot-config/tests/start.rs
@@ -84,7 +84,8 @@
     let limits = Start::parse(&text, |_| None).unwrap().limits;
     assert!(limits.clients >= 8 && limits.node_links >= 8);
     assert!(limits.clients + limits.node_links + 16 <= sockets);
-    let buffered = limits.clients * (limits.turn + limits.body);
+    assert!(limits.turn > limits.head);
+    let buffered = limits.clients * (2 * limits.turn + limits.body);
     assert!(buffered as f64 <= memory_mb * 1024.0 * 1024.0 / 2.0);
     assert!(limits.node_idle < Nanos(15_000_000_000) && limits.watch_pace < Nanos(200_000_000));
 }
--- a/crates/fernknot-protocol/src/body.rs
+++ b/crates/fernknot-protocol/src/body.rs
@@ -69,6 +69,7 @@
         match self {
             Framing::Length(length) if *length > most => Err(TOO_LARGE),
             Framing::Length(length) => {
+                body.reserve_exact(*length - body.len());
                 take(buffer, body, *length - body.len());
                 Ok(body.len() == *length)
             }
--- a/crates/fernknot-router/src/clients.rs
+++ b/crates/fernknot-router/src/clients.rs
@@ -37,7 +37,7 @@
     old: bool,
     /// Requests that came over it.
     requests: u64,
-    /// When bytes last came or went.
+    /// When its request began to come, or bytes of its answer last went.
     moved: Nanos,
     due: Nanos,
     /// It was sent an interim answer to learn whether it has gone or only finished sending.
@@ -196,9 +196,10 @@
 
     fn read_client(&mut self, id: ClientId) {
         let Some(client) = self.clients.by_id.get_mut(&id) else { return };
-        let held = client.link.input.len();
+        let was_idle = client.is_idle();
         let filled = client.link.fill(self.limits.turn);
-        if client.link.input.len() > held {
+        // Guards against requests that come byte by byte without end: their time runs from the first.
+        if was_idle && !client.is_idle() {
             client.moved = self.now;
         }
         if client.stage == Stage::Ending {
@@ -419,6 +420,11 @@
         let found: Vec<(ShardId, String)> = held.parts.iter().filter_map(found).collect();
         let body = multiget::settled(whole, found.iter().map(|(shard, value)| (*shard, value.as_str())));
         let client = held.client;
+        // Guards clients that hold to the protocol's limit, and this router's memory.
+        if body.len() > self.limits.body {
+            self.counters.broken_off += 1;
+            return self.refuse(multiget, 502, "answer too large", None);
+        }
         match whole {
             true => self.counters.settled_whole += 1,
             false => self.counters.settled_in_part += 1,
--- a/crates/fernknot-router/src/nodes.rs
+++ b/crates/fernknot-router/src/nodes.rs
@@ -403,8 +403,8 @@
 
     fn read_node(&mut self, id: LinkId) {
         let Some(held) = self.nodes.links.get_mut(&id) else { return };
-        let most = self.limits.turn.max(2 * self.limits.frame);
-        let filled = held.link.fill(most);
+        // Room for one frame whole, so that it can be read.
+        let filled = held.link.fill(self.limits.frame + self.limits.turn);
         let ended = held.link.ended;
         loop {
             let Some(held) = self.nodes.links.get_mut(&id) else { return };
--- a/crates/fernknot-router/src/peers.rs
+++ b/crates/fernknot-router/src/peers.rs
@@ -40,7 +40,8 @@
     pub fn hear_peers(&mut self) {
         let Some(peers) = &mut self.peers else { return };
         let mut message = vec![0; self.limits.datagram + 1];
-        loop {
+        // Guards the rest of the turn against a flood.
+        for _ in 0..self.limits.datagrams {
             match peers.socket.recv_from(&mut message) {
                 Ok((length, from)) => {
                     let known = peers.told.peers.iter().position(|peer| *peer == from);
