Drop datagrams that were cut off, name failures by HTTP's own words, try more of discovery

End to end: a discovery that refuses and comes back, a list that leaves a node out, a node that moves.

--- a/crates/fernknot-drill/src/instance.rs
+++ b/crates/fernknot-drill/src/instance.rs
@@ -135,7 +135,7 @@
     }
 
     pub fn datagram(&mut self, now: Nanos, datagram: &Datagram) {
-        let news = self.tags.read(&bytes_of(&datagram.msg));
+        let Some(news) = self.tags.read(&bytes_of(&datagram.msg)) else { return };
         self.router.told(now, PeerId(datagram.sender), &news);
     }
 
--- a/crates/fernknot-protocol/src/http.rs
+++ b/crates/fernknot-protocol/src/http.rs
@@ -117,8 +117,16 @@
     pub fn write(&self, out: &mut Buffer, body: &[u8]) {
         let reason = match self.status {
             200 => "OK",
-            400..500 => "Refused",
-            _ => "Failed",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            413 => "Content Too Large",
+            431 => "Request Header Fields Too Large",
+            501 => "Not Implemented",
+            502 => "Bad Gateway",
+            503 => "Service Unavailable",
+            _ => "Unknown",
         };
         let kept = match (self.keep, self.old) {
             (false, _) => "Connection: close\r\n",
--- a/crates/fernknot-protocol/src/news.rs
+++ b/crates/fernknot-protocol/src/news.rs
@@ -60,10 +60,13 @@
         messages
     }
 
-    /// What can be read of a message; nothing of it is trusted to be whole.
-    pub fn read(&self, bytes: &[u8]) -> Vec<(NodeId, News)> {
-        let Some((sent, rest)) = bytes.split_first() else { return Vec::new() };
-        let (sent, ended) = rest.split_at(rest.len().min(2 * usize::from(*sent)));
+    /// What a message says of nodes that are known here; nothing if it was cut off.
+    pub fn read(&self, bytes: &[u8]) -> Option<Vec<(NodeId, News)>> {
+        let (sent, rest) = bytes.split_first()?;
+        let (sent, ended) = rest.split_at_checked(2 * usize::from(*sent))?;
+        if ended.len() % 3 != 0 {
+            return None;
+        }
         let sent = sent.chunks_exact(2).map(|tag| (tag, News::Sent));
         let ended = ended.chunks_exact(3).map(|entry| match entry[2] {
             OVERDUE => (&entry[..2], News::Overdue),
@@ -76,7 +79,7 @@
             let node = self.nodes.get(&u16::from_be_bytes([tag[0], tag[1]]))?;
             node.map(|node| (node, what))
         };
-        sent.chain(ended).filter_map(known).collect()
+        Some(sent.chain(ended).filter_map(known).collect())
     }
 }
 
@@ -97,14 +100,16 @@
             (NodeId(0), took),
         ];
         let messages = tags.write(&news, 256);
-        let read = tags.read(&messages[0]);
+        let read = tags.read(&messages[0]).unwrap();
         assert_eq!(read[..3], news[..3]);
         let (node, News::Answered(told)) = read[3] else { panic!("{read:?}") };
         assert!(node == NodeId(0) && (180.0..220.0).contains(&told.as_millis()));
-        assert_eq!(tags.read(&messages[0][..messages[0].len() - 1]), news[..3]);
-        assert_eq!(Tags::default().read(&messages[0]), []);
+        for cut in [0, 1, 2, 4, 5, messages[0].len() - 1] {
+            assert_eq!(tags.read(&messages[0][..cut]), None, "cut at {cut}");
+        }
+        assert_eq!(Tags::default().read(&messages[0]), Some(Vec::new()));
         let split = tags.write(&news, 8);
         assert!(split.len() > 1 && split.iter().all(|message| message.len() <= 8));
-        assert_eq!(split.iter().flat_map(|message| tags.read(message)).count(), news.len());
+        assert_eq!(split.iter().flat_map(|message| tags.read(message).unwrap()).count(), news.len());
     }
 }
--- a/crates/fernknot-router/src/app.rs
+++ b/crates/fernknot-router/src/app.rs
@@ -214,11 +214,11 @@
             Decision::Settle { multiget, whole, .. } => self.settle(multiget, whole),
             Decision::Dismiss { multiget, wait } => {
                 self.counters.dismissed += 1;
-                self.refuse(multiget, 503, "dismissed", Some(wait).filter(|wait| wait.0 > 0));
+                self.end_without_parts(multiget, 503, "dismissed", Some(wait).filter(|wait| wait.0 > 0));
             }
             Decision::BreakOff { multiget } => {
                 self.counters.broken_off += 1;
-                self.refuse(multiget, 502, "broken off", None);
+                self.end_without_parts(multiget, 502, "broken off", None);
             }
             // Discovery is watched from the start, whether or not that must be asked for.
             Decision::FollowList => {}
--- a/crates/fernknot-router/src/clients.rs
+++ b/crates/fernknot-router/src/clients.rs
@@ -423,7 +423,7 @@
         // Guards clients that hold to the protocol's limit, and this router's memory.
         if body.len() > self.limits.body {
             self.counters.broken_off += 1;
-            return self.refuse(multiget, 502, "answer too large", None);
+            return self.end_without_parts(multiget, 502, "answer too large", None);
         }
         match whole {
             true => self.counters.settled_whole += 1,
@@ -434,7 +434,7 @@
     }
 
     /// Gives a final answer without any part.
-    pub fn refuse(&mut self, multiget: MultigetId, status: u16, words: &str, wait: Option<Nanos>) {
+    pub fn end_without_parts(&mut self, multiget: MultigetId, status: u16, words: &str, wait: Option<Nanos>) {
         let Some(held) = self.table.get(multiget).filter(|held| !held.over) else { return };
         let client = held.client;
         self.answer(client, status, wait.map(|wait| wait.as_millis() / 1e3), words.as_bytes());
--- a/crates/fernknot-router/src/peers.rs
+++ b/crates/fernknot-router/src/peers.rs
@@ -45,11 +45,12 @@
             match peers.socket.recv_from(&mut message) {
                 Ok((length, from)) => {
                     let known = peers.told.peers.iter().position(|peer| *peer == from);
-                    match known.filter(|index| *index != peers.own && length <= self.limits.datagram) {
-                        Some(index) => {
+                    let fits = |index: &usize| *index != peers.own && length <= self.limits.datagram;
+                    let from = known.filter(fits).map(|index| PeerId(index as u32));
+                    match from.and_then(|from| Some((from, peers.tags.read(&message[..length])?))) {
+                        Some((from, news)) => {
                             self.counters.datagrams_taken += 1;
-                            let news = peers.tags.read(&message[..length]);
-                            self.module.told(self.now, PeerId(index as u32), &news);
+                            self.module.told(self.now, from, &news);
                         }
                         None => self.counters.datagrams_dropped += 1,
                     }
--- a/crates/fernknot-router/tests/end_to_end.rs
+++ b/crates/fernknot-router/tests/end_to_end.rs
@@ -89,9 +89,9 @@
     }
 
     /// One multiget on a connection of its own.
-    fn ask(&self, class: &str, shards: &[u32], deadline: &str) -> String {
+    fn ask(&self, use_case: &str, shards: &[u32], deadline: &str) -> String {
         let mut stream = self.connect();
-        stream.write_all(request(class, shards, deadline, "Connection: close\r\n").as_bytes()).unwrap();
+        stream.write_all(request(use_case, shards, deadline, "Connection: close\r\n").as_bytes()).unwrap();
         let mut answer = String::new();
         stream.read_to_string(&mut answer).unwrap();
         answer
@@ -102,13 +102,13 @@
     }
 }
 
-fn request(class: &str, shards: &[u32], deadline: &str, headers: &str) -> String {
+fn request(use_case: &str, shards: &[u32], deadline: &str, headers: &str) -> String {
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let part = 1.0 / shards.len() as f64;
     let buckets: Vec<Value> = shards.iter().map(|shard| json!({"bucket": shard, "part": part})).collect();
     let body = json!({"buckets": buckets, "body": "te\"xt\n\u{e9}"}).to_string();
     format!(
-        "POST /{class} HTTP/1.1\r\nreq-ID: r{number}\r\nReq-Deadline: {deadline}\r\n\
+        "POST /{use_case} HTTP/1.1\r\nreq-ID: r{number}\r\nReq-Deadline: {deadline}\r\n\
          Idempotency-Key: k{number}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
@@ -258,6 +258,39 @@
     assert!(router.counter("list_entries_bad") > 0);
 }
 
+#[test]
+fn a_discovery_that_refuses_is_called_again_until_it_answers() {
+    let nodes = [DataNode::start(Behaviour::Answer).unwrap(), DataNode::start(Behaviour::Answer).unwrap()];
+    let mut config = config();
+    let entry =
+        json!({"instanceId": "s-0", "hostPort": nodes[0].address.to_string(), "cell": 0, "lifecycle": "up"});
+    config["known"] = json!({"generation": 7, "reset": true, "instances": [entry]});
+    let address = free_address();
+    let router = Router::start(&config, address);
+    until("failed calls", || router.counter("list_calls_failed") > 2);
+    assert!(router.ask("page", &[0], "2").starts_with("HTTP/1.1 200"));
+    let discovery = Discovery::start(&address.to_string()).unwrap();
+    discovery.put("s-1", nodes[1].address, 1, "up");
+    until("the new list", || router.ask("page", &[1], "2").starts_with("HTTP/1.1 200"));
+    // The whole list leaves the known node out, so it is gone.
+    assert!(router.ask("page", &[0], "2").starts_with("HTTP/1.1 503"));
+}
+
+#[test]
+fn a_node_that_moves_stays_the_same_node() {
+    let (router, nodes, discovery) = deployment(&[Behaviour::Answer]);
+    assert!(router.ask("page", &[0], "2").starts_with("HTTP/1.1 200"));
+    let moved = DataNode::start(Behaviour::Answer).unwrap();
+    discovery.put("s-0", moved.address, 0, "up");
+    until("the new address in use", || {
+        assert!(router.ask("page", &[0], "2").starts_with("HTTP/1.1 200"));
+        !moved.calls().is_empty()
+    });
+    let before = nodes[0].calls().len();
+    assert!(router.ask("page", &[0], "2").starts_with("HTTP/1.1 200"));
+    assert_eq!((nodes[0].calls().len(), nodes[0].connections(), moved.connections()), (before, 1, 1));
+}
+
 #[test]
 fn a_client_that_closes_has_gone_and_one_that_only_stops_sending_has_not() {
     let (router, nodes, _discovery) = deployment(&[Behaviour::Silent]);
@@ -329,10 +362,11 @@
     let length = peer.recv(&mut message).unwrap();
     assert!((3..=256).contains(&length) && message[0] == 1, "{:?}", &message[..length]);
     peer.send_to(&message[..length], own).unwrap();
+    peer.send_to(&message[..length - 1], own).unwrap();
     peer.send_to(&[0; 257], own).unwrap();
     UdpSocket::bind("127.0.0.1:0").unwrap().send_to(&message[..length], own).unwrap();
     until("all datagrams", || {
-        (router.counter("datagrams_taken"), router.counter("datagrams_dropped")) == (1, 2)
+        (router.counter("datagrams_taken"), router.counter("datagrams_dropped")) == (1, 3)
     });
     assert_eq!(nodes[0].calls().len(), 1);
 }
