Read once more of an idle connection before it makes room

By reading: an idle connection dropped at the limit could hold a request that had just come; it is read once more, as at a stop.

--- a/crates/fernknot-router/src/clients.rs
+++ b/crates/fernknot-router/src/clients.rs
@@ -101,9 +101,11 @@
     /// Accepts what waits, up to the limit; there, idle connections make room.
     pub fn accept(&mut self) {
         while let Some(listener) = self.clients.listener.as_ref().map(|(listener, _)| listener.clone()) {
-            if self.clients.by_id.len() >= self.limits.clients && !self.end_oldest_idle() {
-                self.clients.paused = true;
-                return;
+            while self.clients.by_id.len() >= self.limits.clients {
+                if !self.end_oldest_idle() {
+                    self.clients.paused = true;
+                    return;
+                }
             }
             match listener.accept() {
                 Ok((stream, _)) => {
@@ -148,13 +150,25 @@
         self.read_client(id);
     }
 
+    /// False if none is idle.
     fn end_oldest_idle(&mut self) -> bool {
         let idle = self.clients.by_id.iter().filter(|(_, client)| client.is_idle());
         let Some((_, id)) = idle.map(|(id, client)| (client.moved, *id)).min() else { return false };
-        self.drop_client(id);
+        if self.is_idle_still(id) {
+            self.drop_client(id);
+        }
         true
     }
 
+    /// Reads once more of a connection that is to be ended. Guards a request that has just come.
+    fn is_idle_still(&mut self, id: ClientId) -> bool {
+        if let Some(client) = self.clients.by_id.get_mut(&id) {
+            client.link.readable = true;
+            self.read_client(id);
+        }
+        self.clients.by_id.get(&id).is_some_and(Client::is_idle)
+    }
+
     fn drop_client(&mut self, id: ClientId) {
         let Some(client) = self.clients.by_id.remove(&id) else { return };
         self.timers.remove(&(client.due, Timer::Client(id)));
@@ -303,11 +317,7 @@
         let ids: Vec<ClientId> =
             self.clients.by_id.iter().filter(|(_, client)| idle(client)).map(|(id, _)| *id).collect();
         for id in ids {
-            if let Some(client) = self.clients.by_id.get_mut(&id) {
-                client.link.readable = true;
-                self.read_client(id);
-            }
-            if self.clients.by_id.get(&id).is_some_and(Client::is_idle) {
+            if self.is_idle_still(id) {
                 self.end_client(id);
             }
         }
