--- a/crates/fernknot-config/src/limits.rs
+++ b/crates/fernknot-config/src/limits.rs
@@ -6,7 +6,8 @@
 /// Descriptors that are neither clients' nor nodes': the loop's own, listener, discovery, datagrams,
 /// signals, the three standard ones, and a few in reserve.
 const RESERVE: usize = 24;
-const LEAST_SOCKETS: usize = 64;
+const LEAST_SOCKETS: usize = 40;
+const LEAST_MEMORY_MB: f64 = 8.0;
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -67,8 +68,8 @@
         if sockets < LEAST_SOCKETS {
             return Err(format!("limits.sockets: {sockets} is under {LEAST_SOCKETS}"));
         }
-        if memory_mb.is_nan() || memory_mb < 32.0 {
-            return Err(format!("limits.memory_mb: {memory_mb} is under 32"));
+        if memory_mb.is_nan() || memory_mb < LEAST_MEMORY_MB {
+            return Err(format!("limits.memory_mb: {memory_mb} is under {LEAST_MEMORY_MB}"));
         }
         let seconds = |count: u64| Nanos(count * 1_000_000_000);
         let millis = |count: u64| Nanos(count * 1_000_000);
@@ -79,7 +80,7 @@
         // body, and as much of what follows as is read ahead, in a buffer of up to twice that.
         let affordable = (memory_mb * 1024.0 * 1024.0 / 2.0) as usize / (body + 2 * turn);
         Ok(Limits {
-            clients: (free * 2 / 3).min(affordable.max(8)),
+            clients: (free * 2 / 3).min(affordable),
             node_links: free / 3,
             head: 16 * 1024,
             body,
--- a/crates/fernknot-router/tests/end_to_end.rs
+++ b/crates/fernknot-router/tests/end_to_end.rs
@@ -251,6 +251,7 @@
     config["known"] = json!({"generation": 1, "reset": true, "instances": [entry]});
     let router = Router::start(&config, discovery.address);
     assert!(router.ask("page", &[0], "2").starts_with("HTTP/1.1 200"));
+    until("a call given up", || router.counter("list_calls_failed") > 0);
     discovery.put_raw("s-9", r#"{"instanceId":"s-9","lifecycle":"asleep"}"#);
     discovery.put("s-1", nodes[1].address, 1, "up");
     discovery.set_silent(false);
