--- a/crates/fernknot-router/src/table.rs
+++ b/crates/fernknot-router/src/table.rs
@@ -1,7 +1,7 @@
 //! The table between sockets and module: what is held of each multiget, its parts and hand-offs.
 
 use crate::clients::ClientId;
-use crate::nodes::LinkId;
+use crate::node_links::LinkId;
 use fernknot::interface::*;
 use fernknot_protocol::multiget::Asked;
 use std::collections::HashMap;
