Move the table and the pull loop out of the router into an engine without I/O

Change: fernknot-engine holds the module, the table of multigets, parts and hand-offs, the pull loop and the time-outs of hand-offs; it is fed calls with a time and pulled for orders. The router keeps sockets, timers and signals: ids, core (shared state), link, clients, nodes, discovery and peers, each knowing only what lies below it, and app on top. Which connection carries a hand-off is now noted by the connections, not by the table.

--- /dev/null
+++ b/crates/fernknot-engine/benches/multiget.rs
@@ -0,0 +1,90 @@
+//! What the engine itself costs for one multiget of ten parts, from its request to its answer.
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use fernknot::interface::*;
+use fernknot_engine::{AskerId, Engine, Order};
+use fernknot_protocol::multiget::{Asked, AskedPart};
+
+fn site() -> SiteFacts {
+    let case = UseCaseFacts {
+        goal: Nanos::from_millis(1000.0),
+        hard_limit: Nanos::from_millis(3000.0),
+        earnings: 1.0,
+        late_share: 0.0,
+        effect: Effect::Replayable,
+        stretch: 0.0,
+        need: 1.0,
+        floor: 1.0,
+        second_step: false,
+    };
+    SiteFacts {
+        routers: 1,
+        use_cases: vec![case],
+        customers: Vec::new(),
+        tick: Nanos::from_millis(1.0),
+        cold: ColdFacts::default(),
+        budget: None,
+        places: 10,
+        width: 1,
+        cancel: true,
+        second_copies: true,
+        most_hand_offs: 3,
+        longest_wait: Some(Nanos::from_millis(500.0)),
+        must_ask: false,
+        peers: false,
+    }
+}
+
+fn multiget(c: &mut Criterion) {
+    let mut now = Nanos(1_000_000_000_000);
+    let mut engine = Engine::new(7, site(), now);
+    let node = |id: u32| NodeEntry {
+        node: NodeId(id),
+        place: PlaceId(id % 10),
+        health: Health::Running,
+        since: Nanos(0),
+    };
+    engine.list(ListKind::Full, &(0..30).map(node).collect::<Vec<_>>());
+    let mut number = 0u64;
+    c.bench_function("engine: one multiget of 10 parts", |bench| {
+        bench.iter(|| {
+            number += 1;
+            now = now + Nanos(1_000_000);
+            let part = |shard| AskedPart { shard: ShardId(shard), weight: 0.1, effort: None };
+            let asked = Asked {
+                id: format!("r{number}"),
+                use_case: UseCaseId(0),
+                key: None,
+                wait: Nanos::from_millis(3000.0),
+                repeat: false,
+                text: "text".to_string(),
+                parts: (0..10).map(part).collect(),
+            };
+            engine.take(now, AskerId(number), now + asked.wait, asked);
+            let (mut sent, mut answers) = (Vec::new(), 0);
+            loop {
+                while let Some(order) = engine.next(now) {
+                    match order {
+                        Order::Send { part, no, .. } => sent.push((part, no)),
+                        Order::Abandon { part, no, outcome } => {
+                            engine.ended(now, part, no, outcome, LoadReport::default())
+                        }
+                        Order::Answer { .. } => answers += 1,
+                        _ => {}
+                    }
+                }
+                if sent.is_empty() && !engine.has_news() {
+                    break;
+                }
+                now = now + Nanos(50_000);
+                for (part, no) in sent.drain(..) {
+                    engine.answered(now, part, no, "value".to_string(), LoadReport::default());
+                }
+            }
+            assert_eq!(answers, 1);
+        })
+    });
+}
+
+criterion_group!(benches, multiget);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/fernknot-engine/src/counters.rs
@@ -0,0 +1,37 @@
+//! What an engine has taken in and handed off since its start.
+
+/// A struct of counters, and their text: a line for each, name and value.
+#[macro_export]
+macro_rules! counters {
+    ($($name:ident),* $(,)?) => {
+        #[derive(Clone, Debug, Default)]
+        pub struct Counters { $(pub $name: u64),* }
+
+        impl Counters {
+            /// A line for each, name and value.
+            pub fn text(&self) -> String {
+                let mut text = String::new();
+                $(text.push_str(&format!("{} {}\n", stringify!($name), self.$name));)*
+                text
+            }
+        }
+    };
+}
+
+counters!(
+    multigets_taken,
+    multigets_repeated,
+    parts_taken,
+    lapsed,
+    hand_offs,
+    hand_offs_further,
+    hand_offs_called_off,
+    outcome_answered,
+    outcome_error,
+    outcome_turned_away,
+    outcome_timed_out,
+    outcome_unreachable,
+    outcome_broken,
+    outcome_called_off,
+    outcome_never_sent,
+);
--- a/crates/fernknot-router/src/table.rs
+++ b/crates/fernknot-engine/src/table.rs
@@ -1,16 +1,17 @@
-//! The table between sockets and module: what is held of each multiget, its parts and hand-offs.
+//! The table between host and module: what is held of each multiget, its parts and hand-offs.
 
-use crate::clients::ClientId;
-use crate::node_links::LinkId;
 use fernknot::interface::*;
 use fernknot_protocol::multiget::Asked;
 use std::collections::{HashMap, HashSet};
 
+/// Who asked, as the host knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AskerId(pub u64);
+
 pub struct HandOffState {
     pub node: NodeId,
     pub sent: Nanos,
     pub stop_at: Nanos,
-    pub link: Option<LinkId>,
     /// Its end has been told to the module.
     pub over: bool,
 }
@@ -27,7 +28,7 @@
 pub struct Held {
     /// What its client calls it.
     pub id: String,
-    pub client: ClientId,
+    pub asker: AskerId,
     pub client_end: Nanos,
     pub key: Option<String>,
     pub text: String,
@@ -49,7 +50,7 @@
 }
 
 impl Table {
-    pub fn take(&mut self, client: ClientId, client_end: Nanos, asked: &mut Asked) -> MultigetId {
+    pub(crate) fn take(&mut self, asker: AskerId, client_end: Nanos, asked: &mut Asked) -> MultigetId {
         let id = MultigetId(self.next);
         self.next += 1;
         self.owed += 1;
@@ -63,7 +64,7 @@
         let (key, text) = (asked.key.take(), std::mem::take(&mut asked.text));
         let name = std::mem::take(&mut asked.id);
         self.open.insert(name.clone());
-        self.held.insert(id, Held { id: name, client, client_end, key, text, parts, out: 0, over: false });
+        self.held.insert(id, Held { id: name, asker, client_end, key, text, parts, out: 0, over: false });
         id
     }
 
@@ -72,11 +73,20 @@
         self.open.contains(id)
     }
 
+    /// Multigets of which anything can still be named.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
     pub fn get(&self, id: MultigetId) -> Option<&Held> {
         self.held.get(&id)
     }
 
-    pub fn get_mut(&mut self, id: MultigetId) -> Option<&mut Held> {
+    pub(crate) fn get_mut(&mut self, id: MultigetId) -> Option<&mut Held> {
         self.held.get_mut(&id)
     }
 
@@ -84,13 +94,22 @@
         self.held.get(&id.of)?.parts.get(id.index)
     }
 
-    pub fn hand_off(&mut self, id: PartId, no: HandOffNo) -> Option<&mut HandOffState> {
+    pub fn hand_off(&self, id: PartId, no: HandOffNo) -> Option<&HandOffState> {
+        self.part(id)?.hand_offs.get(no.0 as usize)
+    }
+
+    pub(crate) fn hand_off_mut(&mut self, id: PartId, no: HandOffNo) -> Option<&mut HandOffState> {
         let part = self.held.get_mut(&id.of)?.parts.get_mut(id.index)?;
         part.hand_offs.get_mut(no.0 as usize)
     }
 
+    /// Whether the end of a hand-off has not been told.
+    pub fn is_out(&self, part: PartId, no: HandOffNo) -> bool {
+        self.hand_off(part, no).is_some_and(|hand_off| !hand_off.over)
+    }
+
     /// Marks the multiget as answered; true if that was still owed.
-    pub fn over(&mut self, id: MultigetId) -> bool {
+    pub(crate) fn over(&mut self, id: MultigetId) -> bool {
         let Some(held) = self.held.get_mut(&id).filter(|held| !held.over) else { return false };
         held.over = true;
         self.open.remove(&held.id);
@@ -100,7 +119,7 @@
     }
 
     /// Drops what nothing can name any more.
-    pub fn forget(&mut self, id: MultigetId) {
+    pub(crate) fn forget(&mut self, id: MultigetId) {
         if self.held.get(&id).is_some_and(|held| held.over && held.out == 0) {
             self.held.remove(&id);
         }
--- /dev/null
+++ b/crates/fernknot-router/src/core.rs
@@ -0,0 +1,34 @@
+//! What all that stands on sockets shares: the engine, the time of the running turn, limits, timers,
+//! counters and the log. It knows none of those that use it.
+
+use crate::counters::Counters;
+use crate::ids::Timer;
+use crate::link::Handle;
+use fernknot::interface::Nanos;
+use fernknot_config::{Limits, SocketFacts};
+use fernknot_engine::Engine;
+use slog::Logger;
+use std::collections::BTreeSet;
+
+pub struct Core {
+    pub log: Logger,
+    pub handle: Handle,
+    /// When the running turn began.
+    pub now: Nanos,
+    pub limits: Limits,
+    pub facts: SocketFacts,
+    pub counters: Counters,
+    pub engine: Engine,
+    pub timers: BTreeSet<(Nanos, Timer)>,
+    pub has_list: bool,
+    /// When all must have been answered, once the order to stop has come.
+    pub stop_by: Option<Nanos>,
+    pub lingered: bool,
+}
+
+impl Core {
+    /// All counters, a line each.
+    pub fn counters_text(&self) -> String {
+        self.engine.counters.text() + &self.counters.text()
+    }
+}
--- a/crates/fernknot-router/src/counters.rs
+++ b/crates/fernknot-router/src/counters.rs
@@ -1,43 +1,12 @@
-//! What a router has taken in, sent and answered since its start.
+//! What the sockets of a router have seen since its start.
 
-macro_rules! counters {
-    ($($name:ident),* $(,)?) => {
-        #[derive(Debug, Default)]
-        pub struct Counters { $(pub $name: u64),* }
-
-        impl Counters {
-            /// A line for each, name and value.
-            pub fn text(&self) -> String {
-                let mut text = String::new();
-                $(text.push_str(&format!("{} {}\n", stringify!($name), self.$name));)*
-                text
-            }
-        }
-    };
-}
-
-counters!(
-    multigets_taken,
-    multigets_repeated,
-    parts_taken,
+fernknot_engine::counters!(
     bad_requests,
     settled_whole,
     settled_in_part,
     dismissed,
     broken_off,
-    lapsed,
     answers_unread,
-    hand_offs,
-    hand_offs_further,
-    hand_offs_called_off,
-    outcome_answered,
-    outcome_error,
-    outcome_turned_away,
-    outcome_timed_out,
-    outcome_unreachable,
-    outcome_broken,
-    outcome_called_off,
-    outcome_never_sent,
     answers_late,
     frames_bad,
     client_connections,
--- a/crates/fernknot-router/src/link.rs
+++ b/crates/fernknot-router/src/link.rs
@@ -1,6 +1,6 @@
 //! One TCP connection: its socket, its place in the loop, and a buffer for each direction.
 
-use crate::app::{App, Source};
+use crate::ids::{Heard, Source};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use fernknot_protocol::buffer::Buffer;
@@ -9,7 +9,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
-pub type Handle = LoopHandle<'static, App>;
+pub type Handle = LoopHandle<'static, Heard>;
 
 pub struct Link {
     stream: Rc<TcpStream>,
@@ -38,8 +38,8 @@
     source: Source,
 ) -> Result<RegistrationToken> {
     let generic = Generic::new(fd, Interest::BOTH, Mode::Edge);
-    let marked = handle.insert_source(generic, move |readiness, _, app| {
-        app.ready.push((source, readiness));
+    let marked = handle.insert_source(generic, move |readiness, _, heard| {
+        heard.ready.push((source, readiness));
         Ok(PostAction::Continue)
     });
     marked.map_err(|error| std::io::Error::other(error.error))
--- a/crates/fernknot-router/src/main.rs
+++ b/crates/fernknot-router/src/main.rs
@@ -3,15 +3,16 @@
 mod app;
 mod clients;
 mod clock;
+mod core;
 mod counters;
 mod discovery;
 mod hand_offs;
+mod ids;
 mod link;
 mod logs;
 mod node_links;
 mod nodes;
 mod peers;
-mod table;
 
 use fernknot_config::{First, Start};
 use std::process::ExitCode;
