Let a client that came after the order to stop ask once before it is handed over

Change: a connection accepted since the order to stop that has not asked yet is kept until its request has come or the linger is over.

--- a/crates/fernknot-router/src/clients.rs
+++ b/crates/fernknot-router/src/clients.rs
@@ -316,15 +316,21 @@
 
     /// Whether a stopping router no longer keeps a connection. Guards clients that have no other router
     /// yet, where one stops as another comes back, and the others against coming all at once.
-    fn hands_over(&self, core: &mut Core, id: ClientId) -> bool {
+    fn hands_over(&self, core: &Core, id: ClientId) -> bool {
         let share = (id.0 % HAND_OVERS) as f64 / HAND_OVERS as f64;
         let left = core.limits.last_answers + core.limits.hand_over.times(1.0 - share);
         core.lingered || core.stop_by.is_some_and(|by| core.now + left >= by)
     }
 
-    /// Ends those connections between requests that are handed over by now.
+    /// Ends those connections between requests that are handed over by now. Guards the first request of a
+    /// client that came after the order to stop: it has had no other router to go to, so it may ask once.
     pub fn end_idle_clients(&mut self, core: &mut Core) {
-        let idle = self.by_id.iter().filter(|(id, client)| client.is_idle() && self.hands_over(core, **id));
+        let told = core.stop_by.map(|by| by - core.limits.last_answers - core.limits.linger);
+        let new = |client: &Client| !core.lingered && !client.asked && Some(client.moved) >= told;
+        let idle = self
+            .by_id
+            .iter()
+            .filter(|(id, client)| client.is_idle() && !new(client) && self.hands_over(core, **id));
         let ids: Vec<ClientId> = idle.map(|(id, _)| *id).collect();
         for id in ids {
             if self.is_idle_still(core, id) {
