Take queries in two phases: match what blocks hold, then fetch only those that do

Cause: the album tool asks which photos match and then fetches them, two multigets over every block, each with its own goal time.

Change: fernknot-phases decides the split of the goal time (histograms that forget, from the registry), what is fetched, what a silent block means and what the second phase needs; block summaries are kept within a bound and rule out only what the store confirms in that query. The module learns of a second phase as one more fact: the first phase has the goal time less what the second needs, promised work stands before what is new, and a second phase that cannot be in time is refused before any part of it. The engine opens the second phase; protocol, settings and frames carry it. Off unless a use case has phases.

--- a/crates/fernknot-config/src/facts.rs
+++ b/crates/fernknot-config/src/facts.rs
@@ -58,6 +58,61 @@
     #[serde(default)]
     repeat_window: f64,
     worth: f64,
+    phases: Option<PhasesGiven>,
+}
+
+/// A use case that may be asked in two phases; all but the key itself may be left out.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+struct PhasesGiven {
+    least_first: Option<f64>,
+    most_first: Option<f64>,
+    silent: Option<Silent>,
+    names_others: Option<bool>,
+    least_matches: Option<f64>,
+    split: Option<Split>,
+    refuses: Option<bool>,
+    prunes: Option<bool>,
+}
+
+/// What a block means that did not answer the first phase.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Silent {
+    /// It is fetched as if it matched.
+    Fetch,
+    /// It is left out, and the answer is not whole.
+    Leave,
+    /// The query is refused.
+    Refuse,
+}
+
+/// How the goal time is split between the phases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Split {
+    /// By what second phases of such a size have taken lately.
+    Learned,
+    Half,
+}
+
+/// How a use case is asked in two phases.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PhaseFacts {
+    pub goal: Nanos,
+    /// The least and the most that the first phase may have of the goal time.
+    pub first_least: f64,
+    pub first_most: f64,
+    pub silent: Silent,
+    /// A block's match answer may name others than itself.
+    pub names_others: bool,
+    /// The share of the first phase with which the second may be opened.
+    pub least: f64,
+    pub split: Split,
+    /// A second phase that cannot be in time is refused; what does not match is not fetched. Both off for
+    /// comparison only.
+    pub refuses: bool,
+    pub prunes: bool,
 }
 
 #[derive(Clone, Copy, Deserialize)]
@@ -110,6 +165,8 @@
     pub drain_grace: Nanos,
     /// The longest that any client waits.
     pub longest_wait: Nanos,
+    /// For each use case, how it is asked in two phases, if it may be.
+    pub phases: Vec<Option<PhaseFacts>>,
     pub position: usize,
 }
 
@@ -168,6 +225,39 @@
         })
     }
 
+    /// How each use case is asked in two phases, if it may be.
+    pub fn phases(&self) -> Result<Vec<Option<PhaseFacts>>, String> {
+        let phases = |(index, class): (usize, &Class)| {
+            let Some(given) = &class.phases else { return Ok(None) };
+            let least = self.family_info.min_share.get(index).or(self.family_info.class_need.get(index));
+            let facts = PhaseFacts {
+                goal: Nanos::from_millis(class.on_time),
+                first_least: given.least_first.unwrap_or(0.2),
+                first_most: given.most_first.unwrap_or(0.8),
+                silent: given.silent.unwrap_or(Silent::Fetch),
+                names_others: given.names_others.unwrap_or(false),
+                least: given.least_matches.or(least.copied()).unwrap_or(1.0),
+                split: given.split.unwrap_or(Split::Learned),
+                refuses: given.refuses.unwrap_or(true),
+                prunes: given.prunes.unwrap_or(true),
+            };
+            let wrong = |key: &str, value: f64, why: &str| {
+                Err(format!("classes[{index}].phases.{key}: {value} {why}"))
+            };
+            if !(facts.first_least > 0.0 && facts.first_least < 1.0) {
+                return wrong("leastFirst", facts.first_least, "is not between 0 and 1");
+            }
+            if !(facts.first_most >= facts.first_least && facts.first_most < 1.0) {
+                return wrong("mostFirst", facts.first_most, "is not between leastFirst and 1");
+            }
+            if !(facts.least > 0.0 && facts.least <= 1.0) {
+                return wrong("leastMatches", facts.least, "is no share above 0");
+            }
+            Ok(Some(facts))
+        };
+        self.classes.iter().enumerate().map(phases).collect()
+    }
+
     /// What the sockets need; a drill can do without.
     pub fn sockets(&self) -> Result<SocketFacts, String> {
         let span = |key: &str, value: Option<f64>| match value {
@@ -198,6 +288,7 @@
             longest_wait: Nanos::from_millis(
                 self.classes.iter().map(|class| class.deadline).fold(0.0, f64::max),
             ),
+            phases: self.phases()?,
             position: self.position.ok_or("position: missing")?,
         })
     }
--- a/crates/fernknot-config/src/lib.rs
+++ b/crates/fernknot-config/src/lib.rs
@@ -4,6 +4,6 @@
 mod limits;
 mod start;
 
-pub use facts::{Facts, SocketFacts};
+pub use facts::{Facts, PhaseFacts, Silent, SocketFacts, Split};
 pub use limits::Limits;
 pub use start::{First, Start, Told};
--- a/crates/fernknot-config/src/limits.rs
+++ b/crates/fernknot-config/src/limits.rs
@@ -40,6 +40,10 @@
     pub datagrams: usize,
     /// Given-up parts that a connection remembers, to tell a late answer from a strange one.
     pub given_up: usize,
+    /// Bytes that summaries of blocks may take, terms that a query may name, and bytes of one.
+    pub sketches: usize,
+    pub terms: usize,
+    pub term: usize,
     /// Bytes of log that wait for standard error.
     pub log: usize,
     /// A connection to a node is closed after so long without use, before the node closes it.
@@ -108,6 +112,10 @@
             datagram: 256,
             datagrams: 4096,
             given_up: 1024,
+            // A sixteenth of the memory; none is taken where no use case has phases.
+            sketches: (memory_mb * 1024.0 * 1024.0 / 16.0) as usize,
+            terms: 64,
+            term: 256,
             log: 64 * 1024,
             node_idle: facts.idle.times(0.8),
             connect_within: facts.connect_within,
--- a/crates/fernknot-config/tests/start.rs
+++ b/crates/fernknot-config/tests/start.rs
@@ -1,7 +1,7 @@
 //! What stops a start, and what a start makes of its limits.
 
 use fernknot::interface::{Effect, Nanos};
-use fernknot_config::{First, Start};
+use fernknot_config::{First, Silent, Start};
 use serde_json::{Value, json};
 use test_case::test_case;
 
@@ -37,6 +37,11 @@
 #[test_case("/settings/classes/1/name", json!("page"), "settings.classes[1].name: "; "a name twice")]
 #[test_case("/settings/position", Value::Null, "settings.position: "; "position missing")]
 #[test_case("/settings/rules/extraShare", json!(0.1), "settings.rules.countedOver: "; "ration without its window")]
+#[test_case("/settings/classes/0/phases", json!({"leastFirst": 0}), "settings.classes[0].phases.leastFirst: 0 "; "no share")]
+#[test_case("/settings/classes/0/phases", json!({"leastFirst": 0.7, "mostFirst": 0.6}), "settings.classes[0].phases.mostFirst: 0.6 "; "bounds crossed")]
+#[test_case("/settings/classes/1/phases", json!({"leastMatches": 1.5}), "settings.classes[1].phases.leastMatches: 1.5 "; "over one")]
+#[test_case("/settings/classes/0/phases", json!({"silent": "wait"}), "settings.classes[0].phases.silent: "; "strange silence")]
+#[test_case("/settings/classes/0/phases", json!({"lestFirst": 0.1}), "settings.classes[0].phases.lestFirst: unknown"; "a key misspelt")]
 fn a_fault_is_told_with_its_key(path: &str, value: Value, message: &str) {
     let text = match path {
         "/settings/classes/0/effect" | "/settings/classes/1/name" => {
@@ -50,6 +55,21 @@
     assert!(error.starts_with(message) && !error.contains('\n'), "{error}");
 }
 
+#[test]
+fn a_use_case_has_phases_where_it_says_so() {
+    let text = changed("/settings/classes/1/phases", json!({"leastFirst": 0.3, "silent": "leave"}));
+    let phases = Start::parse(&text, First::Environment, |_| None).unwrap().sockets.phases;
+    assert!(phases[0].is_none() && phases[2].is_none());
+    let facts = phases[1].as_ref().unwrap();
+    assert_eq!((facts.first_least, facts.first_most, facts.silent), (0.3, 0.8, Silent::Leave));
+    assert_eq!(
+        (facts.least, facts.goal),
+        (0.5, Nanos(1_500_000_000)),
+        "the use case's own least share and goal"
+    );
+    assert!(facts.refuses && facts.prunes && !facts.names_others);
+}
+
 #[test]
 fn peers_need_addresses_where_they_are_allowed() {
     let mut config: Value = serde_json::from_str(EXAMPLE).unwrap();
--- a/crates/fernknot-drill/src/instance.rs
+++ b/crates/fernknot-drill/src/instance.rs
@@ -92,6 +92,7 @@
                     client_end: Nanos::from_millis(order.client_deadline),
                     repeat: order.retry,
                     effort,
+                    second: None,
                 },
             );
             self.items.insert(order.req.clone(), Item::Multiget(multiget));
--- a/crates/fernknot-engine/benches/multiget.rs
+++ b/crates/fernknot-engine/benches/multiget.rs
@@ -37,7 +37,7 @@
 
 fn multiget(c: &mut Criterion) {
     let mut now = Nanos(1_000_000_000_000);
-    let mut engine = Engine::new(7, site(), now);
+    let mut engine = Engine::new(7, site(), &[None], 0, now);
     let node = |id: u32| NodeEntry {
         node: NodeId(id),
         place: PlaceId(id % 10),
@@ -59,6 +59,7 @@
                 repeat: false,
                 text: "text".to_string(),
                 parts: (0..10).map(part).collect(),
+                second: None,
             };
             engine.take(now, AskerId(number), now + asked.wait, asked);
             let (mut sent, mut answers) = (Vec::new(), 0);
--- a/crates/fernknot-engine/src/engine.rs
+++ b/crates/fernknot-engine/src/engine.rs
@@ -1,11 +1,14 @@
 //! The pull loop, and the carrying out of the module's decisions as far as that needs no socket.
 
 use crate::counters::Counters;
-use crate::table::{AskerId, HandOffState, Table};
+use crate::table::{AskerId, HandOffState, Held, PartOf, Table};
 use fernknot::decide::Router;
 use fernknot::interface::*;
-use fernknot_protocol::multiget::{Asked, AskedPart};
-use std::collections::{BTreeSet, VecDeque};
+use fernknot_config::PhaseFacts;
+use fernknot_phases::{Block, Phases, Query, print_of};
+use fernknot_protocol::matches;
+use fernknot_protocol::multiget::{Asked, AskedPart, AskedSecond, Said};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// The final answer to a multiget.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,6 +17,8 @@
         whole: bool,
         /// The value of each part that is in.
         found: Vec<(ShardId, String)>,
+        /// What is said of each block of a query in two phases.
+        blocks: Option<Vec<(ShardId, Said)>>,
     },
     /// Asking again is harmless, after this wait where there is one.
     Dismissed {
@@ -22,6 +27,17 @@
     BrokenOff,
 }
 
+/// Where a multiget stood when it got its final answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Plain,
+    FirstPhase,
+    /// In the second, before or after a part of it was handed off.
+    SecondPhase {
+        ran: bool,
+    },
+}
+
 /// What the host is to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
@@ -40,6 +56,7 @@
     Answer {
         asker: AskerId,
         verdict: Verdict,
+        ended: Ended,
     },
     FollowList,
     HangUp {
@@ -55,6 +72,7 @@
 
 pub struct Engine {
     module: Router,
+    phases: Phases,
     pub table: Table,
     pub counters: Counters,
     endings: VecDeque<Ending>,
@@ -68,9 +86,18 @@
 }
 
 impl Engine {
-    pub fn new(seed: u64, site: SiteFacts, now: Nanos) -> Engine {
+    /// `phases` says which use cases may be asked in two phases; their summaries of blocks take at most
+    /// `sketch_bytes`.
+    pub fn new(
+        seed: u64,
+        site: SiteFacts,
+        phases: &[Option<PhaseFacts>],
+        sketch_bytes: usize,
+        now: Nanos,
+    ) -> Engine {
         Engine {
             module: Router::new(seed, site, now),
+            phases: Phases::new(now, phases, sketch_bytes),
             table: Table::default(),
             counters: Counters::default(),
             endings: VecDeque::new(),
@@ -101,6 +128,7 @@
         self.counters.multigets_taken += 1;
         self.counters.multigets_repeated += u64::from(asked.repeat);
         self.counters.parts_taken += asked.parts.len() as u64;
+        let second = asked.second.take().map(|second| self.begin(now, multiget, &mut asked, second));
         // A guess at the whole work is one only if there is one for each part.
         let add = |sum: Option<Nanos>, part: &AskedPart| Some(sum? + part.effort?);
         let arrival = Arrival {
@@ -110,32 +138,110 @@
             client_end,
             repeat: asked.repeat,
             effort: asked.parts.iter().fold(Some(Nanos(0)), add),
+            second: second.flatten(),
         };
         self.module.take(now, &arrival);
-        for (index, part) in asked.parts.iter().enumerate() {
-            let id = PartId { of: multiget, index };
-            let arrival =
-                PartArrival { part: id, shard: part.shard, weight: part.weight, effort: part.effort };
-            self.module.take_part(now, &arrival);
-        }
+        self.take_parts(now, multiget, 0, asked.parts.iter());
         self.fresh = true;
         multiget
     }
 
+    fn take_parts<'a>(
+        &mut self,
+        now: Nanos,
+        of: MultigetId,
+        from: usize,
+        parts: impl Iterator<Item = &'a AskedPart>,
+    ) {
+        for (index, part) in parts.enumerate() {
+            let part = PartArrival {
+                part: PartId { of, index: from + index },
+                shard: part.shard,
+                weight: part.weight,
+                effort: part.effort,
+            };
+            self.module.take_part(now, &part);
+        }
+    }
+
+    /// Begins the first of two phases; what the module is to know of the second comes back.
+    fn begin(
+        &mut self,
+        now: Nanos,
+        id: MultigetId,
+        asked: &mut Asked,
+        second: AskedSecond,
+    ) -> Option<SecondFacts> {
+        self.counters.phased_taken += 1;
+        let block = |part: AskedPart| Block { shard: part.shard, weight: part.weight, effort: part.effort };
+        let query = Query {
+            use_case: asked.use_case,
+            wait: asked.wait,
+            asked: asked.parts.iter().map(|part| part.shard).collect(),
+            blocks: second.parts.into_iter().map(block).collect(),
+            terms: second.terms.iter().map(|term| print_of(term)).collect(),
+        };
+        let order = self.phases.begin(now, id, query);
+        let place: HashMap<ShardId, usize> =
+            order.into_iter().enumerate().map(|(place, shard)| (shard, place)).collect();
+        asked.parts.sort_by_key(|part| place.get(&part.shard).copied());
+        self.table.sort_parts(id, |part| place.get(&part.shard).copied());
+        self.phases.expectation(now, id)
+    }
+
     /// The client has gone; nothing more is owed.
     pub fn lapsed(&mut self, now: Nanos, multiget: MultigetId) {
         self.counters.lapsed += 1;
         self.fresh = true;
         self.module.lapsed(now, multiget);
+        if let Some(held) = self.table.get(multiget).filter(|held| held.is_phased() && !held.over) {
+            match held.is_opened() {
+                false => self.counters.first_phase_lapsed += 1,
+                true => self.counters.second_phase_lapsed += 1,
+            }
+            self.phases.over(now, multiget, held.second_ran());
+        }
         self.table.over(multiget);
     }
 
     /// A node answered a hand-off with a value.
     pub fn answered(&mut self, now: Nanos, part: PartId, no: HandOffNo, value: String, report: LoadReport) {
-        if let Some(held) = self.table.get_mut(part.of) {
-            held.parts[part.index].value.get_or_insert(value);
+        let is_out = self.table.is_out(part, no);
+        let Some(state) = self.table.part_mut(part).filter(|_| is_out) else { return };
+        let outcome = match state.of {
+            PartOf::Match => self.matched(now, part, &value),
+            PartOf::Plain | PartOf::Fetch => {
+                state.value.get_or_insert(value);
+                Outcome::Answered
+            }
+        };
+        self.ended(now, part, no, outcome, report);
+    }
+
+    /// Takes a block's answer of a first phase. Guards against a fetch that is silently smaller: a value
+    /// that cannot be read, or names what it may not, is a failed hand-off that may have run.
+    fn matched(&mut self, now: Nanos, part: PartId, value: &str) -> Outcome {
+        let Some(shard) = self.table.part(part).map(|part| part.shard) else { return Outcome::Error };
+        let Ok(answer) = matches::read(value) else {
+            self.counters.match_values_bad += 1;
+            return Outcome::Error;
+        };
+        match self.phases.matched(part.of, shard, answer) {
+            Ok(true) => {
+                if let Some(facts) = self.phases.expectation(now, part.of) {
+                    self.module.expect(part.of, facts);
+                }
+                Outcome::Answered
+            }
+            Ok(false) => {
+                self.counters.match_answers_late += 1;
+                Outcome::Answered
+            }
+            Err(_) => {
+                self.counters.match_values_bad += 1;
+                Outcome::Error
+            }
         }
-        self.ended(now, part, no, Outcome::Answered, report);
     }
 
     /// A hand-off ended in any other way. How it ended first counts.
@@ -163,6 +269,12 @@
         self.endings.push_back(Ending { part, no, node, outcome, took: now - sent, report });
     }
 
+    // ---- What is known ---------------------------------------------------------------------
+
+    pub fn phases(&self) -> &Phases {
+        &self.phases
+    }
+
     // ---- What is to be done ----------------------------------------------------------------
 
     /// Whether there is something that the module has not been asked about.
@@ -206,16 +318,23 @@
                 self.counters.hand_offs_called_off += 1;
                 Some(Order::Abandon { part, no, outcome: Outcome::CalledOff })
             }
+            Decision::Settle { multiget, last: false, .. } => {
+                self.open(now, multiget);
+                None
+            }
             Decision::Settle { multiget, whole, .. } => {
                 let held = self.table.get(multiget)?;
                 let found = held.parts.iter().filter_map(|part| Some((part.shard, part.value.clone()?)));
-                let verdict = Verdict::Settled { whole, found: found.collect() };
-                self.end(multiget, verdict)
+                let found: Vec<(ShardId, String)> = found.collect();
+                let is_in = |shard| found.iter().any(|(found, _)| *found == shard);
+                let blocks =
+                    held.is_phased().then(|| self.phases.account(multiget, is_in).unwrap_or_default());
+                self.end(now, multiget, Verdict::Settled { whole, found, blocks })
             }
             Decision::Dismiss { multiget, wait } => {
-                self.end(multiget, Verdict::Dismissed { wait: Some(wait).filter(|wait| wait.0 > 0) })
+                self.end(now, multiget, Verdict::Dismissed { wait: Some(wait).filter(|wait| wait.0 > 0) })
             }
-            Decision::BreakOff { multiget } => self.end(multiget, Verdict::BrokenOff),
+            Decision::BreakOff { multiget } => self.end(now, multiget, Verdict::BrokenOff),
             Decision::FollowList => Some(Order::FollowList),
             Decision::HangUp { node } => Some(Order::HangUp { node }),
             Decision::Renew { node } => Some(Order::Renew { node }),
@@ -245,9 +364,58 @@
         Some(Order::Send { part, no, node })
     }
 
+    /// Opens the second phase with the blocks that the first one left, if any.
+    fn open(&mut self, now: Nanos, multiget: MultigetId) {
+        let Some(fetch) = self.phases.open(now, multiget) else { return };
+        let Some(held) = self.table.get_mut(multiget) else { return };
+        let from = held.open(fetch.blocks.iter().map(|block| block.shard));
+        self.counters.phased_opened += 1;
+        self.module.second(multiget, fetch.step);
+        let part =
+            |block: Block| AskedPart { shard: block.shard, weight: block.weight, effort: block.effort };
+        let parts: Vec<AskedPart> = fetch.blocks.into_iter().map(part).collect();
+        self.take_parts(now, multiget, from, parts.iter());
+    }
+
     /// Gives the final answer, if one is still owed.
-    fn end(&mut self, multiget: MultigetId, verdict: Verdict) -> Option<Order> {
-        let asker = self.table.get(multiget)?.asker;
-        self.table.over(multiget).then_some(Order::Answer { asker, verdict })
+    fn end(&mut self, now: Nanos, multiget: MultigetId, verdict: Verdict) -> Option<Order> {
+        let held = self.table.get(multiget).filter(|held| !held.over)?;
+        let (asker, ended) = (held.asker, Engine::stage(held));
+        if ended != Ended::Plain {
+            self.count(&verdict, ended);
+            self.phases.over(now, multiget, ended == Ended::SecondPhase { ran: true });
+        }
+        self.table.over(multiget);
+        Some(Order::Answer { asker, verdict, ended })
+    }
+
+    fn stage(held: &Held) -> Ended {
+        match (held.is_phased(), held.is_opened()) {
+            (false, _) => Ended::Plain,
+            (true, false) => Ended::FirstPhase,
+            (true, true) => Ended::SecondPhase { ran: held.second_ran() },
+        }
+    }
+
+    fn count(&mut self, verdict: &Verdict, ended: Ended) {
+        let counters = &mut self.counters;
+        match (verdict, ended) {
+            (Verdict::Settled { whole, blocks, .. }, _) => {
+                for (_, said) in blocks.iter().flatten() {
+                    match said {
+                        Said::Fetched => counters.blocks_fetched += 1,
+                        Said::Pruned => counters.blocks_pruned += 1,
+                        Said::Missing | Said::Unasked => counters.blocks_unasked += 1,
+                    }
+                }
+                match whole {
+                    true => counters.phased_whole += 1,
+                    false => counters.phased_in_part += 1,
+                }
+            }
+            (_, Ended::SecondPhase { ran: false }) => counters.second_phase_refused += 1,
+            (_, Ended::SecondPhase { ran: true }) => counters.second_phase_failed += 1,
+            _ => counters.first_phase_refused += 1,
+        }
     }
 }
--- a/crates/fernknot-engine/src/lib.rs
+++ b/crates/fernknot-engine/src/lib.rs
@@ -10,5 +10,5 @@
 mod table;
 
 pub use counters::Counters;
-pub use engine::{Engine, Order, Verdict};
-pub use table::{AskerId, HandOffState, Held, PartState, Table};
+pub use engine::{Ended, Engine, Order, Verdict};
+pub use table::{AskerId, HandOffState, Held, PartOf, PartState, Table};
--- a/crates/fernknot-engine/src/table.rs
+++ b/crates/fernknot-engine/src/table.rs
@@ -1,7 +1,7 @@
 //! The table between host and module: what is held of each multiget, its parts and hand-offs.
 
 use fernknot::interface::*;
-use fernknot_protocol::multiget::Asked;
+use fernknot_protocol::multiget::{Asked, AskedSecond};
 use std::collections::{HashMap, HashSet};
 
 /// Who asked, as the host knows it.
@@ -16,8 +16,17 @@
     pub over: bool,
 }
 
+/// What a part is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartOf {
+    Plain,
+    Match,
+    Fetch,
+}
+
 pub struct PartState {
     pub shard: ShardId,
+    pub of: PartOf,
     /// What it is called in frames.
     pub id: String,
     /// The value of the first answer.
@@ -30,8 +39,10 @@
     pub id: String,
     pub asker: AskerId,
     pub client_end: Nanos,
-    pub key: Option<String>,
-    pub text: String,
+    key: Option<String>,
+    text: String,
+    /// What the second of two phases asks, and the parts that it was opened with.
+    second: Option<Box<SecondHeld>>,
     pub parts: Vec<PartState>,
     /// Hand-offs whose end has not been told.
     pub out: usize,
@@ -39,6 +50,65 @@
     pub over: bool,
 }
 
+pub(crate) struct SecondHeld {
+    text: String,
+    pub opened: bool,
+}
+
+impl Held {
+    /// What a part asks of a node.
+    pub fn text(&self, part: &PartState) -> &str {
+        match (&self.second, part.of) {
+            (Some(second), PartOf::Fetch) => &second.text,
+            _ => &self.text,
+        }
+    }
+
+    /// The client's key, for parts that may change something: the first of two phases only asks.
+    pub fn key(&self, part: &PartState) -> Option<&str> {
+        self.key.as_deref().filter(|_| part.of != PartOf::Match)
+    }
+
+    pub fn is_phased(&self) -> bool {
+        self.second.is_some()
+    }
+
+    /// Its second phase has been opened.
+    pub fn is_opened(&self) -> bool {
+        self.second.as_ref().is_some_and(|second| second.opened)
+    }
+
+    /// Parts of the second phase were handed off.
+    pub fn second_ran(&self) -> bool {
+        self.parts.iter().any(|part| part.of == PartOf::Fetch && !part.hand_offs.is_empty())
+    }
+
+    /// Opens the second phase with these blocks; the index of the first of its parts comes back.
+    pub(crate) fn open(&mut self, shards: impl Iterator<Item = ShardId>) -> usize {
+        let from = self.parts.len();
+        if let Some(second) = &mut self.second {
+            second.opened = true;
+        }
+        let id = &self.id;
+        self.parts.extend(shards.map(|shard| PartState::new(id, shard, PartOf::Fetch)));
+        from
+    }
+}
+
+impl PartState {
+    /// Guards against ids that collide: a client's id has no comma, so no plain part is ever called like
+    /// one of a phase, and the letter tells the phases apart.
+    fn new(id: &str, shard: ShardId, of: PartOf) -> PartState {
+        let phase = match of {
+            PartOf::Plain => "",
+            PartOf::Match => ",m",
+            PartOf::Fetch => ",f",
+        };
+        let id = format!("{id}{phase}.{}", shard.0);
+        PartState { shard, of, id, value: None, hand_offs: Vec::new() }
+    }
+}
+
 #[derive(Default)]
 pub struct Table {
     held: HashMap<MultigetId, Held>,
@@ -54,20 +124,26 @@
         let id = MultigetId(self.next);
         self.next += 1;
         self.owed += 1;
-        let part = |shard: ShardId| PartState {
-            shard,
-            id: format!("{}.{}", asked.id, shard.0),
-            value: None,
-            hand_offs: Vec::new(),
-        };
-        let parts = asked.parts.iter().map(|asked| part(asked.shard)).collect();
+        let of = if asked.second.is_some() { PartOf::Match } else { PartOf::Plain };
+        let parts = asked.parts.iter().map(|part| PartState::new(&asked.id, part.shard, of)).collect();
         let (key, text) = (asked.key.take(), std::mem::take(&mut asked.text));
+        let text_of =
+            |second: &mut AskedSecond| SecondHeld { text: std::mem::take(&mut second.text), opened: false };
+        let second = asked.second.as_mut().map(|second| Box::new(text_of(second)));
         let name = std::mem::take(&mut asked.id);
         self.open.insert(name.clone());
-        self.held.insert(id, Held { id: name, asker, client_end, key, text, parts, out: 0, over: false });
+        self.held
+            .insert(id, Held { id: name, asker, client_end, key, text, second, parts, out: 0, over: false });
         id
     }
 
+    /// Orders the parts of a multiget of which none has been handed off.
+    pub(crate) fn sort_parts<K: Ord>(&mut self, id: MultigetId, key: impl FnMut(&PartState) -> K) {
+        if let Some(held) = self.held.get_mut(&id) {
+            held.parts.sort_by_key(key);
+        }
+    }
+
     /// Whether a request of this id is owed an answer.
     pub fn is_open(&self, id: &str) -> bool {
         self.open.contains(id)
@@ -94,6 +170,10 @@
         self.held.get(&id.of)?.parts.get(id.index)
     }
 
+    pub(crate) fn part_mut(&mut self, id: PartId) -> Option<&mut PartState> {
+        self.held.get_mut(&id.of)?.parts.get_mut(id.index)
+    }
+
     pub fn hand_off(&self, id: PartId, no: HandOffNo) -> Option<&HandOffState> {
         self.part(id)?.hand_offs.get(no.0 as usize)
     }
--- a/crates/fernknot-protocol/src/frames.rs
+++ b/crates/fernknot-protocol/src/frames.rs
@@ -13,15 +13,35 @@
     /// Milliseconds that the router will wait.
     pub wait: u64,
     pub key: Option<&'a str>,
+    /// Of a query in two phases: which one, and the version of the block's summary that the router keeps.
+    pub phase: Option<CallPhase>,
     pub text: &'a str,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallPhase {
+    Match { version: Option<u64> },
+    Fetch,
+}
+
+impl CallPhase {
+    fn words(phase: Option<CallPhase>) -> String {
+        match phase {
+            None => String::new(),
+            Some(CallPhase::Match { version: None }) => ",p=match".to_string(),
+            Some(CallPhase::Match { version: Some(version) }) => format!(",p=match,v={version}"),
+            Some(CallPhase::Fetch) => ",p=fetch".to_string(),
+        }
+    }
+}
+
 pub fn call<'a>(out: &mut Buffer, parts: impl Iterator<Item = CallPart<'a>>) {
     let mut rest = Vec::new();
     for part in parts {
         let key = part.key.map(|key| format!(",k={key}")).unwrap_or_default();
         // Writing to a vector does not fail.
-        let _ = writeln!(rest, "{} {} d={}{key} {}", part.id, part.shard, part.wait, part.text.len());
+        let phase = CallPhase::words(part.phase);
+        let _ = writeln!(rest, "{} {} d={}{key}{phase} {}", part.id, part.shard, part.wait, part.text.len());
         rest.extend_from_slice(part.text.as_bytes());
     }
     frame(out, b'A', &rest);
--- a/crates/fernknot-protocol/src/lib.rs
+++ b/crates/fernknot-protocol/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 pub mod frames;
 pub mod http;
+pub mod matches;
 pub mod multiget;
 pub mod news;
 pub mod outbox;
--- a/crates/fernknot-protocol/tests/machines.rs
+++ b/crates/fernknot-protocol/tests/machines.rs
@@ -1,10 +1,10 @@
 //! The state machines, fed whole, byte by byte and split at every byte.
 
 use fernknot::interface::*;
-use fernknot_config::{Limits, SocketFacts};
+use fernknot_config::{Limits, PhaseFacts, Silent, SocketFacts, Split};
 use fernknot_protocol::buffer::Buffer;
 use fernknot_protocol::discovery::{Watch, list};
-use fernknot_protocol::frames::{self, CallPart, End, Frame};
+use fernknot_protocol::frames::{self, CallPart, CallPhase, End, Frame};
 use fernknot_protocol::http::{Answer, Request, RequestReader, ResponseReader};
 use fernknot_protocol::multiget;
 use std::fmt::Debug;
@@ -21,10 +21,25 @@
         connect_within: span,
         drain_grace: span,
         longest_wait: Nanos(3_000_000_000),
+        phases: vec![Some(phases(false)), None],
         position: 0,
     }
 }
 
+fn phases(names_others: bool) -> PhaseFacts {
+    PhaseFacts {
+        goal: Nanos::from_millis(1000.0),
+        first_least: 0.2,
+        first_most: 0.8,
+        silent: Silent::Fetch,
+        names_others,
+        least: 1.0,
+        split: Split::Learned,
+        refuses: true,
+        prunes: true,
+    }
+}
+
 fn limits() -> Limits {
     Limits::new(256, 64.0, &facts()).unwrap()
 }
@@ -166,10 +181,71 @@
     assert_eq!(multiget::asked(&request, &facts(), &limits()).unwrap_err().0, 400);
 }
 
+const HEAD: &str = "Req-Id: a\r\nReq-Deadline: 1\r\nIdempotency-Key: k\r\n";
+
+#[test]
+fn a_query_in_two_phases_is_read_with_both() {
+    let body = r#"{"match":{"body":"find","terms":["beach"]},"fetch":{"body":"get","buckets":[
+        {"bucket":2,"part":0.75,"effort":9000},{"bucket":0,"part":0.25}]}}"#;
+    let asked = multiget::asked(&request("/page", HEAD, body), &facts(), &limits()).unwrap();
+    let second = asked.second.unwrap();
+    assert_eq!(
+        (asked.text.as_str(), second.text.as_str(), second.terms),
+        ("find", "get", vec!["beach".into()])
+    );
+    let parts = |parts: &[multiget::AskedPart]| -> Vec<_> {
+        parts.iter().map(|part| (part.shard.0, part.weight, part.effort.is_some())).collect()
+    };
+    assert_eq!(parts(&asked.parts), [(2, 0.75, false), (0, 0.25, false)]);
+    assert_eq!(parts(&second.parts), [(2, 0.75, true), (0, 0.25, false)]);
+    // Elsewhere such a body is what it ever was: none that can be used.
+    let elsewhere = multiget::asked(&request("/mark", HEAD, body), &facts(), &limits());
+    assert_eq!(elsewhere.unwrap_err(), (400, "body unfit"));
+}
+
+const BOTH: &str = r#""fetch":{"body":"","buckets":[{"bucket":0,"part":1}]}"#;
+
+#[test_case(r#"{"match":{"body":""}}"#, "match or fetch unfit"; "no fetch")]
+#[test_case(&format!(r#"{{"match":{{}},{BOTH}}}"#), "match or fetch unfit"; "no match text")]
+#[test_case(&format!(r#"{{"match":{{"body":"","therms":[]}},{BOTH}}}"#), "match or fetch unfit"; "a key misspelt")]
+#[test_case(&format!(r#"{{"match":{{"body":"","buckets":[]}},{BOTH}}}"#), "no parts"; "no block asked")]
+#[test_case(&format!(r#"{{"match":{{"body":"","terms":[""]}},{BOTH}}}"#), "terms unfit"; "an empty term")]
+#[test_case(
+    &format!(r#"{{"match":{{"body":"","buckets":[{{"bucket":9,"part":1}}]}},{BOTH}}}"#),
+    "a shard is unknown or asked for twice"; "an unknown block"
+)]
+#[test_case(
+    &format!(r#"{{"match":{{"body":"","buckets":[{{"bucket":1,"part":1}}]}},{BOTH}}}"#),
+    "a block is to be fetched that is not asked for matches"; "a block that nothing could name"
+)]
+fn unusable_queries_in_two_phases_are_unfit(body: &str, why: &str) {
+    let unfit = multiget::asked(&request("/page", HEAD, body), &facts(), &limits()).unwrap_err();
+    assert_eq!(unfit, (400, why));
+}
+
+#[test]
+fn where_blocks_name_others_some_may_be_fetched_that_are_not_asked() {
+    let facts = SocketFacts { phases: vec![Some(phases(true))], ..facts() };
+    let body = format!(r#"{{"match":{{"body":"","buckets":[{{"bucket":1,"part":1}}]}},{BOTH}}}"#);
+    let asked = multiget::asked(&request("/page", HEAD, &body), &facts, &limits()).unwrap();
+    assert_eq!((asked.parts[0].shard, asked.second.unwrap().parts[0].shard), (ShardId(1), ShardId(0)));
+}
+
+#[test]
+fn an_answer_in_two_phases_says_what_became_of_each_block() {
+    use multiget::Said;
+    let said = [(ShardId(3), Said::Fetched), (ShardId(4), Said::Pruned), (ShardId(5), Said::Unasked)];
+    let body = multiget::settled(false, [(ShardId(3), "x")].into_iter(), Some(&said));
+    let read: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    let state = |bucket, state| serde_json::json!({"bucket": bucket, "state": state});
+    let blocks = [state(3, "fetched"), state(4, "pruned"), state(5, "unasked")];
+    assert_eq!(read["blocks"], serde_json::json!(blocks));
+}
+
 #[test]
 fn values_pass_unchanged() {
     let value = "q\"\\\n\u{1}\u{2028}\u{1f600}";
-    let body = multiget::settled(false, [(ShardId(3), value)].into_iter());
+    let body = multiget::settled(false, [(ShardId(3), value)].into_iter(), None);
     let read: serde_json::Value = serde_json::from_slice(&body).unwrap();
     assert_eq!(read, serde_json::json!({"finished": false, "found": [{"bucket": 3, "item": value}]}));
 }
@@ -228,7 +304,7 @@
 
 #[test]
 fn a_call_is_read_as_it_was_written() {
-    let part = |id, key, text| CallPart { id, shard: 3, wait: 240, key, text };
+    let part = |id, key, text| CallPart { id, shard: 3, wait: 240, key, phase: None, text };
     let mut out = Buffer::default();
     frames::call(&mut out, [part("a.3", Some("5c"), "x\ny"), part("b.3", None, "")].into_iter());
     let frame = frames::next(&out, &limits()).unwrap().unwrap();
@@ -238,6 +314,18 @@
     assert_eq!(frames::calls(&frame.rest[..frame.rest.len() - 8]), None);
 }
 
+#[test_case(None, "d=240,k=5c"; "plain, as ever")]
+#[test_case(Some(CallPhase::Match { version: None }), "d=240,k=5c,p=match"; "a match")]
+#[test_case(Some(CallPhase::Match { version: Some(7) }), "d=240,k=5c,p=match,v=7"; "with a version")]
+#[test_case(Some(CallPhase::Fetch), "d=240,k=5c,p=fetch"; "a fetch")]
+fn the_list_of_a_part_tells_its_phase(phase: Option<CallPhase>, list: &str) {
+    let part = CallPart { id: "a,m.3", shard: 3, wait: 240, key: Some("5c"), phase, text: "x" };
+    let mut out = Buffer::default();
+    frames::call(&mut out, [part].into_iter());
+    let frame = frames::next(&out, &limits()).unwrap().unwrap();
+    assert_eq!(frames::calls(frame.rest).unwrap(), [("a,m.3", 3, list, "x")]);
+}
+
 const NODE: &str = r#"{"instanceId":"s-1","hostPort":"127.0.0.1:8443","cell":3,"lifecycle":"draining","startedAtMs":1700000000000}"#;
 
 #[test_case(NODE, 1, 0; "sound")]
--- a/crates/fernknot-router/src/app.rs
+++ b/crates/fernknot-router/src/app.rs
@@ -48,7 +48,7 @@
     let peers = peers.transpose().map_err(told("peer_listen"))?;
     let core = Core {
         now,
-        engine: Engine::new(start.seed, start.site, now),
+        engine: Engine::new(start.seed, start.site, &start.sockets.phases, start.limits.sketches, now),
         facts: start.sockets,
         counters: Counters::default(),
         timers: BTreeSet::new(),
@@ -203,7 +203,7 @@
         match order {
             Order::Send { part, no, node } => nodes.send(part, no, node),
             Order::Abandon { part, no, outcome } => nodes.abandon(core, part, no, outcome),
-            Order::Answer { asker, verdict } => clients.give(core, asker, verdict),
+            Order::Answer { asker, verdict, ended } => clients.give(core, asker, verdict, ended),
             // Discovery is watched from the start, whether or not that must be asked for.
             Order::FollowList => {}
             Order::HangUp { node } => nodes.hang_up(core, node),
--- a/crates/fernknot-router/src/clients.rs
+++ b/crates/fernknot-router/src/clients.rs
@@ -5,10 +5,10 @@
 use crate::link::{Filled, Handle, Link, watch};
 use calloop::{Readiness, RegistrationToken};
 use fernknot::interface::*;
-use fernknot_engine::{AskerId, Verdict};
+use fernknot_engine::{AskerId, Ended, Verdict};
 use fernknot_protocol::http::{Answer, GO_ON, Request, RequestReader};
 use fernknot_protocol::multiget;
-use slog::warn;
+use slog::{debug, warn};
 use std::collections::HashMap;
 use std::io::{ErrorKind, Result};
 use std::net::{SocketAddr, TcpListener};
@@ -425,12 +425,15 @@
     }
 
     /// Gives the final answer to a multiget that is held.
-    pub fn give(&mut self, core: &mut Core, asker: AskerId, verdict: Verdict) {
+    pub fn give(&mut self, core: &mut Core, asker: AskerId, verdict: Verdict, ended: Ended) {
         let id = ClientId(asker.0);
+        if ended != Ended::Plain && !matches!(verdict, Verdict::Settled { .. }) {
+            debug!(core.log, "a query in two phases is given up"; "in" => ?ended);
+        }
         match verdict {
-            Verdict::Settled { whole, found } => {
-                let body =
-                    multiget::settled(whole, found.iter().map(|(shard, value)| (*shard, value.as_str())));
+            Verdict::Settled { whole, found, blocks } => {
+                let values = found.iter().map(|(shard, value)| (*shard, value.as_str()));
+                let body = multiget::settled(whole, values, blocks.as_deref());
                 // Guards clients that hold to the protocol's limit, and this router's memory.
                 if body.len() > core.limits.body {
                     core.counters.broken_off += 1;
--- a/crates/fernknot-router/src/node_links.rs
+++ b/crates/fernknot-router/src/node_links.rs
@@ -6,7 +6,8 @@
 use crate::nodes::Nodes;
 use calloop::Readiness;
 use fernknot::interface::*;
-use fernknot_protocol::frames::{self, CallPart, End, Frame};
+use fernknot_engine::PartOf;
+use fernknot_protocol::frames::{self, CallPart, CallPhase, End, Frame};
 use fernknot_protocol::outbox::Outbox;
 use slog::{debug, warn};
 use std::collections::{HashMap, VecDeque};
@@ -402,8 +403,16 @@
                             id: &state.id,
                             shard: state.shard.0,
                             wait: left.0.div_ceil(1_000_000),
-                            key: multiget.key.as_deref(),
-                            text: &multiget.text,
+                            key: multiget.key(state),
+                            phase: match state.of {
+                                PartOf::Plain => None,
+                                PartOf::Match => {
+                                    let version = core.engine.phases().version(state.shard);
+                                    Some(CallPhase::Match { version })
+                                }
+                                PartOf::Fetch => Some(CallPhase::Fetch),
+                            },
+                            text: multiget.text(state),
                         })
                     });
                     frames::call(&mut held.link.output, asked);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -85,6 +85,8 @@
 const IDLE_LOST: f64 = 0.15;
 /// How long before an end the last answer is given, in ticks of the host.
 const END_TICKS: f64 = 4.0;
+/// The part of the ration of further hand-offs that copies in the first of two phases may use.
+const FIRST_RATION: f64 = 0.5;
 /// A share counts as reached when it falls short by no more than rounding.
 const ROUNDING: f64 = 0.00005;
 
@@ -142,6 +144,8 @@
     first_sends: SlidingCount,
     copies: SlidingCount,
     further: SlidingCount,
+    /// Sizes promised to second phases of multigets whose first one runs.
+    promised: f64,
     /// When a multiget was last dismissed for the delay it would meet.
     shed_at: Option<Nanos>,
     /// When a node could last not be reached, or a multiget only broke hand-offs.
@@ -248,13 +252,19 @@
         let cut = arrival.repeat && stay + self.tick.times(4.0) < case.stay;
         let asked = if cut { now.min(arrival.client_end - case.hard_limit) } else { now };
         let end = |after: Nanos| (asked + after + stretch).min(arrival.client_end).max(now);
+        let until = if case.late_share > 0.0 { arrival.client_end } else { end(case.goal) };
         let multiget = Multiget {
             use_case: arrival.use_case,
             customer: arrival.customer,
             taken_at: now,
             aim_end: end(aim(case)),
-            until: if case.late_share > 0.0 { arrival.client_end } else { end(case.goal) },
+            until,
+            whole_ends: (end(aim(case)), until),
             client_end: arrival.client_end,
+            second: None,
+            promised: 0.0,
+            needs: None,
+            base: 0.0,
             parts: Vec::new(),
             step_from: 0,
             fresh: true,
@@ -266,15 +276,32 @@
         self.open.insert(arrival.multiget, multiget);
         self.taken.add(now, 1.0);
         self.touched.push_back(arrival.multiget);
+        arrival.second.iter().for_each(|facts| self.expect(arrival.multiget, *facts));
     }
 
-    pub fn take_part(&mut self, now: Nanos, arrival: &PartArrival) {
-        let Some(multiget) = self.open.get_mut(&arrival.part.of) else { return };
-        let case = &mut self.use_cases[multiget.use_case.0];
-        // How heavy a part is beside the average one: by its hint, as far as hints have told
-        // latencies lately, or by the fastest answers of its use case. Guards against taking
-        // heavy parts for a slow replica, and against hints that are rough or untrue.
-        let hint = arrival.effort.map(|effort| (effort.0.max(1) as f64).ln());
+    /// What is known by now of the second phase of a multiget whose first one runs. The first has the
+    /// goal time less what the second is expected to need, and ends at once when the second can for
+    /// certain not be in time any more.
+    pub fn expect(&mut self, id: MultigetId, facts: SecondFacts) {
+        let Some(multiget) = self.open.get_mut(&id).filter(|held| held.step_from == 0) else { return };
+        let (aim_end, until) = multiget.whole_ends;
+        (multiget.aim_end, multiget.until) = (aim_end - facts.needs, until - facts.needs_least);
+        multiget.second = Some(facts);
+        self.touched.push_back(id);
+    }
+
+    /// Opens the second phase of a multiget whose first one was settled; its parts follow.
+    pub fn second(&mut self, id: MultigetId, step: SecondStep) {
+        let Some(multiget) = self.open.get_mut(&id).filter(|held| held.step_from > 0) else { return };
+        (multiget.needs, multiget.base, multiget.first_whole) = (step.needs, step.base, step.whole);
+        self.touched.push_back(id);
+    }
+
+    /// How heavy a part is beside the average one.
+    fn size_of(&self, case: &UseCase, hint: Option<f64>) -> f64 {
+        // By its hint, as far as hints have told latencies lately, or by the fastest answers of its use
+        // case. Guards against taking heavy parts for a slow replica, and against hints that are rough or
+        // untrue.
         let measured = (case.latencies.fastest(FASTEST), self.raw_latencies.fastest(FASTEST));
         let size = match (hint, measured) {
             (Some(hint), _) => {
@@ -284,14 +311,25 @@
             (None, (Some((own, _)), Some((all, _)))) => own / all,
             _ => 1.0,
         };
-        let size = size.clamp(1.0 / WIDEST, WIDEST);
+        size.clamp(1.0 / WIDEST, WIDEST)
+    }
+
+    pub fn take_part(&mut self, now: Nanos, arrival: &PartArrival) {
+        let Some(use_case) = self.open.get(&arrival.part.of).map(|held| held.use_case) else { return };
+        let hint = arrival.effort.map(|effort| (effort.0.max(1) as f64).ln());
+        let size = self.size_of(&self.use_cases[use_case.0], hint);
+        let case = &mut self.use_cases[use_case.0];
         case.size.add(size, SIZE_GAIN);
+        let Some(multiget) = self.open.get_mut(&arrival.part.of) else { return };
+        // A first phase only asks.
+        let effect = if multiget.second.is_some() { Effect::Replayable } else { case.effect };
         multiget.parts.push(Part {
             id: arrival.part,
             shard: arrival.shard,
             weight: arrival.weight,
             size,
             hint,
+            effect,
             hand_offs: Vec::new(),
             answered: false,
             given_up: false,
@@ -469,10 +507,12 @@
         let ends = [multiget.aim_end, multiget.until, multiget.client_end];
         let ends @ [aim_end, until, client_end] = ends.map(|end| end - self.tick.times(END_TICKS));
         let second = multiget.step_from > 0;
-        let whole = if second { 1.0 } else { case.need };
+        let whole = if second || multiget.second.is_some() { 1.0 } else { case.need };
         let least = if second && case.floor >= case.need { 1.0 } else { case.floor };
+        let least = multiget.second.map_or(least, |facts| facts.least);
         let weigh = |keep: fn(&Part) -> bool| -> f64 {
-            multiget.step().iter().filter(|part| keep(part)).map(|part| part.weight).sum::<f64>() + ROUNDING
+            let weights = multiget.step().iter().filter(|part| keep(part)).map(|part| part.weight);
+            weights.sum::<f64>() + multiget.base + ROUNDING
         };
         let waits = multiget.step().is_empty();
         let answered = weigh(|part| part.answered);
@@ -518,6 +558,8 @@
         multiget.fresh = false;
         let (use_case, customer, second) = (multiget.use_case, multiget.customer, multiget.step_from > 0);
         let left = multiget.aim_end - now;
+        let (base, facts) = (multiget.base, multiget.second);
+        let (needs, rest) = (multiget.needs, multiget.until - now);
         let parts = multiget.step().to_vec();
         self.use_cases[use_case.0].work.add(parts.iter().map(|part| part.size).sum(), SIZE_GAIN);
         let mut planned = BTreeMap::new();
@@ -532,12 +574,26 @@
         offers.sort_by_key(|(delay, _, part)| (*delay, part.id));
         let case = &self.use_cases[use_case.0];
         // The delay by which enough of the parts would be in for an answer.
-        let mut reached = ROUNDING;
+        let mut reached = base + ROUNDING;
         let enough = offers.iter().find(|(_, _, part)| {
             reached += part.weight;
             reached >= case.floor
         });
         let delay = enough.or(offers.last()).map_or(Nanos(0), |(delay, _, _)| *delay);
+        // Guards against a second phase that cannot be in time: it is refused before any of it is sent.
+        if needs.is_some_and(|needs| delay.max(needs) > rest) {
+            self.shed_at = Some(now);
+            self.give_up(now, id);
+            return false;
+        }
+        // What second phases were promised stands before all that is new, wherever it will go. Guards
+        // against a burst of cheap first phases whose second ones nobody can carry.
+        let own = facts.map_or(0.0, |facts| {
+            facts.parts * self.size_of(case, facts.effort.map(|effort| (effort.0.max(1) as f64).ln()))
+        });
+        let usual = self.pace.get().unwrap_or_default();
+        let ahead = Nanos((usual * self.promised / self.nodes.len().max(1) as f64) as u64);
+        let delay = if second { delay } else { delay + ahead };
         let yields = |case: &UseCase| case.work.get().map_or(0.0, |work| case.earnings / work);
         let best = self.use_cases.iter().map(yields).fold(f64::MIN_POSITIVE, f64::max);
         let fill = FILL_LEAST + (FILL_BEST - FILL_LEAST) * yields(case) / best;
@@ -556,6 +612,7 @@
             self.end(id);
             return false;
         }
+        self.promise(id, own);
         // Guards against multigets that bring down each node that begins a part of them: while
         // nodes break, the quickest part goes first, and the others once it has answered.
         offers.retain(|(_, offer, _)| offer.is_some());
@@ -572,6 +629,13 @@
         true
     }
 
+    /// Counts so much work as promised to the second phase of a multiget.
+    fn promise(&mut self, id: MultigetId, work: f64) {
+        if let Some(multiget) = self.open.get_mut(&id) {
+            self.promised = (self.promised + work - std::mem::replace(&mut multiget.promised, work)).max(0.0);
+        }
+    }
+
     /// The planned copies of a part that has just been handed off, as the design has it.
     fn copy(&mut self, now: Nanos, id: PartId) {
         let Some(multiget) = self.open.get(&id.of) else { return };
@@ -696,7 +760,7 @@
     fn may_send_further(&self, now: Nanos, part: &Part) -> bool {
         let Some(multiget) = self.open.get(&part.id.of) else { return false };
         let first_run = part.hand_offs.iter().filter(|sent| may_have_run(sent)).map(|sent| sent.sent).min();
-        let allowed = match (self.use_cases[multiget.use_case.0].effect, first_run) {
+        let allowed = match (part.effect, first_run) {
             (Effect::Replayable, _) | (_, None) => true,
             (Effect::Referenced(window), Some(first)) => now + self.tick < first + window,
             (Effect::SingleUse, Some(_)) => false,
@@ -705,7 +769,10 @@
         // Counted a little unkindly at both edges of the window.
         let taken = self.taken.within(now, self.budget.window - self.tick);
         let sent = self.further.within(now, self.budget.window + self.tick);
-        let rationed = sent + 1.0 > self.budget.free + self.budget.share * taken;
+        // Guards second phases against copies made in first ones.
+        let copies = multiget.second.is_some() && part.out().next().is_some();
+        let share = if copies { FIRST_RATION } else { 1.0 };
+        let rationed = sent + 1.0 > share * (self.budget.free + self.budget.share * taken);
         allowed && second && !rationed && part.hand_offs.len() < self.most_hand_offs
     }
 
@@ -763,7 +830,7 @@
     fn settle(&mut self, now: Nanos, id: MultigetId, whole: bool) {
         let Some(multiget) = self.open.get_mut(&id) else { return };
         let case = &mut self.use_cases[multiget.use_case.0];
-        let last = !case.second_step || multiget.step_from > 0;
+        let last = multiget.step_from > 0 || !case.second_step && multiget.second.is_none();
         if case.borne.get().is_some_and(|borne| (now - multiget.taken_at).0 as f64 >= borne) {
             case.leavers.add_from(Some(0.0), 0.0, BORNE_GAIN);
         }
@@ -773,7 +840,10 @@
         }
         let from = multiget.step_from..multiget.parts.len();
         (multiget.step_from, multiget.first_whole, multiget.fresh) = (from.end, whole, true);
+        (multiget.aim_end, multiget.until) = multiget.whole_ends;
+        multiget.second = None;
         let until = multiget.client_end - self.tick.times(END_TICKS);
+        self.promise(id, 0.0);
         from.for_each(|index| self.call_off(PartId { of: id, index }));
         self.look_again(id, until.max(now + self.tick));
     }
@@ -782,9 +852,9 @@
     /// client that asking again is harmless, so nothing may have run that must not run twice.
     fn give_up(&mut self, now: Nanos, id: MultigetId) {
         let Some(multiget) = self.open.get(&id) else { return };
-        let replayable = self.use_cases[multiget.use_case.0].effect == Effect::Replayable;
-        let ran = multiget.parts.iter().any(|part| part.hand_offs.iter().any(may_have_run));
-        self.ready.push_back(if now < multiget.client_end && (replayable || !ran) {
+        let lasts = |part: &&Part| part.effect != Effect::Replayable;
+        let ran = multiget.parts.iter().filter(lasts).any(|part| part.hand_offs.iter().any(may_have_run));
+        self.ready.push_back(if now < multiget.client_end && !ran {
             Decision::Dismiss { multiget: id, wait: self.longest_wait }
         } else {
             Decision::BreakOff { multiget: id }
@@ -795,6 +865,7 @@
     fn end(&mut self, id: MultigetId) {
         let Some(multiget) = self.open.get_mut(&id) else { return };
         multiget.ended = true;
+        self.promised -= std::mem::take(&mut multiget.promised);
         self.due.remove(&(multiget.look_at, id));
         (0..multiget.parts.len()).for_each(|index| self.call_off(PartId { of: id, index }));
         self.touched.push_back(id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -155,6 +155,33 @@
     pub repeat: bool,
     /// Expected work of all parts, where the host is told.
     pub effort: Option<Nanos>,
+    /// What is known of its second phase, where it has two. Its first one may be repeated, whatever its
+    /// use case says of effects.
+    pub second: Option<SecondFacts>,
+}
+
+/// What is known of a second phase while the first one runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SecondFacts {
+    /// The time that it is expected to take, and the least that it takes for certain.
+    pub needs: Nanos,
+    pub needs_least: Nanos,
+    /// The parts that it is expected to have, and the work of one, where the host is told.
+    pub parts: f64,
+    pub effort: Option<Nanos>,
+    /// The share of the first phase with which the second may be opened.
+    pub least: f64,
+}
+
+/// What a second phase is when it is opened; its parts follow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SecondStep {
+    /// The time that it is expected to take; `None` admits it whatever is left.
+    pub needs: Option<Nanos>,
+    /// The share of the answer that needs no part any more.
+    pub base: f64,
+    /// Nothing is missing from what the first phase had to say.
+    pub whole: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -278,6 +278,7 @@
     pub size: f64,
     /// Logarithm of the work hinted at.
     pub hint: Option<f64>,
+    pub effect: Effect,
     pub hand_offs: Vec<HandOff>,
     pub answered: bool,
     pub given_up: bool,
@@ -298,7 +299,15 @@
     pub aim_end: Nanos,
     /// When nothing more can be earned.
     pub until: Nanos,
+    /// Both, as they are for the multiget as a whole while its first phase has less.
+    pub whole_ends: (Nanos, Nanos),
     pub client_end: Nanos,
+    /// Of its second phase, while the first one runs, and the work counted as promised to it.
+    pub second: Option<SecondFacts>,
+    pub promised: f64,
+    /// Of its second phase, once that is open: the time needed, and the share that needs no part.
+    pub needs: Option<Nanos>,
+    pub base: f64,
     pub parts: Vec<Part>,
     /// Where the parts of the present step begin.
     pub step_from: usize,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -66,6 +66,7 @@
         client_end: ms(client_end),
         repeat: false,
         effort: None,
+        second: None,
     }
 }
 
