Refuse a second phase by the design's estimate over all its parts where all is slow

Change: while the delay that multigets meet fills a fifth of the goal time, and that of a second phase a fifth of what is left, the product of Phi over its parts must reach the target, 0.95. A second phase that has less than the median time is refused at any load; the first one leaves the 0.9 quantile.

--- a/crates/fernknot-phases/src/phases.rs
+++ b/crates/fernknot-phases/src/phases.rs
@@ -9,8 +9,10 @@
 use fernknot_protocol::multiget::Said;
 use std::collections::{BTreeMap, HashMap};
 
-/// A second phase is expected to take what this share of the recent ones of its size took at most.
+/// A first phase leaves as much time as this share of the recent second phases of the size took at most,
+/// and a second one that has not even the time that this share took is likelier late than not.
 const NEED: f64 = 0.9;
+const LIKELY: f64 = 0.5;
 /// No second phase of its size was quicker than this share of the recent ones.
 const LEAST: f64 = 0.05;
 /// Second phases are told apart by their parts, in powers of two.
@@ -319,7 +321,7 @@
         }
         let needs = case.facts.refuses.then(|| match blocks.len() {
             0 => Nanos(0),
-            parts => case.takes(now, parts as f64, NEED).unwrap_or_default(),
+            parts => case.takes(now, parts as f64, LIKELY).unwrap_or_default(),
         });
         Some(Fetch { blocks, step: SecondStep { needs, base, whole } })
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -85,6 +85,9 @@
 const IDLE_LOST: f64 = 0.15;
 /// How long before an end the last answer is given, in ticks of the host.
 const END_TICKS: f64 = 4.0;
+/// While the delay that multigets meet fills more than this share of the goal time in the mean, and that of
+/// a second phase as much of what is left, its estimate over all parts must reach the target.
+const CROWDED: f64 = 0.2;
 /// The part of the ration of further hand-offs that copies in the first of two phases may use.
 const FIRST_RATION: f64 = 0.5;
 /// A share counts as reached when it falls short by no more than rounding.
@@ -144,6 +147,8 @@
     first_sends: SlidingCount,
     copies: SlidingCount,
     further: SlidingCount,
+    /// The share of the goal time that the expected delay of multigets fills.
+    met: RunningMean,
     /// Sizes promised to second phases of multigets whose first one runs.
     promised: f64,
     /// When a multiget was last dismissed for the delay it would meet.
@@ -580,8 +585,12 @@
             reached >= case.floor
         });
         let delay = enough.or(offers.last()).map_or(Nanos(0), |(delay, _, _)| *delay);
-        // Guards against a second phase that cannot be in time: it is refused before any of it is sent.
-        if needs.is_some_and(|needs| delay.max(needs) > rest) {
+        // Guards against a second phase that is likelier late than not, and where all is slow against one
+        // that is not likely enough in time: it is refused before any of it is sent.
+        let chance: f64 = offers.iter().map(|(_, offer, _)| offer.map_or(0.0, |offer| offer.phi)).product();
+        let crowded = self.met.get() > Some(CROWDED) && delay > rest.times(CROWDED);
+        let unlikely = delay.max(needs.unwrap_or_default()) > rest || crowded && chance < TARGET;
+        if needs.is_some() && unlikely {
             self.shed_at = Some(now);
             self.give_up(now, id);
             return false;
@@ -603,6 +612,9 @@
         // A client that is short of time by its own doing is refused only what is past hope.
         let aim = aim(case);
         let room = |fill: f64| aim.times(fill).min(left);
+        if !second {
+            self.met.add(delay.min(aim).0 as f64 / aim.0.max(1) as f64, SIZE_GAIN);
+        }
         let within = share.is_none_or(|share| delay <= room(fill) && share.draw(now));
         let room = room(if within { fill } else { fill.min(FILL_BEYOND) });
         if !second && delay > room {
