Count what a store fails of second phases apart, and refuse those likelier to fail

Cause: end to end on loopback, the only store of a needed block answered matches and stalled on fetches; 233 of 240 queries failed late, since its quick matches hid the fetches that never came.

Change: failures are tallied by use case and phase, and an overdue fetch counts among them until it is answered. A second phase is refused where the product of Phi over what the least answer needs is under a half, at any load.

--- /dev/null
+++ b/crates/fernknot-router/tests/two_phase.rs
@@ -0,0 +1,156 @@
+//! Queries in two phases through the real binary, against stores of scripted delays.
+
+mod common;
+
+use common::*;
+use fernknot_stand_in::{Behaviour, DataNode, Discovery};
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const GOAL: Duration = Duration::from_millis(400);
+const QUICK: Duration = Duration::from_millis(4);
+
+/// Four places, shard s at place s; `page` and `mark` may be asked in two phases.
+fn phased_config() -> Value {
+    let mut config = config();
+    config["settings"]["familyInfo"]["places"] = json!(4);
+    for class in [0, 2] {
+        let class = &mut config["settings"]["classes"][class];
+        class["onTime"] = json!(GOAL.as_millis() as f64);
+        class["deadline"] = json!(1500.0);
+        class["lateShare"] = json!(0.0);
+        class["phases"] = json!({"leastFirst": 0.1, "mostFirst": 0.9});
+    }
+    config
+}
+
+fn phased(matches: bool, fetch_after: Option<Duration>) -> Behaviour {
+    Behaviour::Phased { matches, match_after: QUICK, fetch_after }
+}
+
+/// So many nodes of these behaviours at each place.
+fn deploy(places: [(Behaviour, usize); 4]) -> (Router, Vec<Vec<DataNode>>, Discovery) {
+    let discovery = Discovery::start("127.0.0.1:0").unwrap();
+    let start = |(place, (behaviour, count)): (usize, (Behaviour, usize))| {
+        let node = |index: usize| {
+            let node = DataNode::start(behaviour).unwrap();
+            discovery.put(&format!("s-{place}-{index}"), node.address, place as u32, "up");
+            node
+        };
+        (0..count).map(node).collect()
+    };
+    let nodes = places.into_iter().enumerate().map(start).collect();
+    (Router::start(&phased_config(), discovery.address), nodes, discovery)
+}
+
+fn query(use_case: &str) -> String {
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let buckets: Vec<Value> = (0..4).map(|shard| json!({"bucket": shard, "part": 0.25})).collect();
+    let body = json!({"match": {"body": "find"}, "fetch": {"buckets": buckets, "body": "get"}}).to_string();
+    format!(
+        "POST /{use_case} HTTP/1.1\r\nReq-Id: p{number}\r\nReq-Deadline: 1.2\r\nIdempotency-Key: k{number}\r\n\
+         Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// One query; the answer's status and body, and how long it took.
+fn ask(router: &Router, use_case: &str) -> (u16, Value, Duration) {
+    let start = Instant::now();
+    let mut stream = router.connect();
+    stream.write_all(query(use_case).as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let status = answer.split(' ').nth(1).unwrap().parse().unwrap();
+    let body = answer.split("\r\n\r\n").nth(1).unwrap_or_default();
+    (status, serde_json::from_str(body).unwrap_or_default(), start.elapsed())
+}
+
+/// A steady load of so many queries from a few clients; what each got.
+fn load(router: &Router, queries: usize) -> Vec<(u16, Value, Duration)> {
+    let (next, got) = (Arc::new(Mutex::new(0)), Mutex::new(Vec::new()));
+    thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                loop {
+                    let mut taken = next.lock().unwrap();
+                    if *taken == queries {
+                        return;
+                    }
+                    *taken += 1;
+                    drop(taken);
+                    let answer = ask(router, "page");
+                    got.lock().unwrap().push(answer);
+                }
+            });
+        }
+    });
+    got.into_inner().unwrap()
+}
+
+fn states(body: &Value) -> Vec<&str> {
+    body["blocks"].as_array().unwrap().iter().map(|block| block["state"].as_str().unwrap()).collect()
+}
+
+#[test]
+fn one_request_asks_for_matches_and_fetches_them() {
+    let quick = |matches| (phased(matches, Some(QUICK)), 1);
+    let (router, nodes, _discovery) = deploy([quick(true), quick(false), quick(false), quick(true)]);
+    let (status, body, _) = ask(&router, "mark");
+    assert_eq!((status, &body["finished"]), (200, &json!(true)), "{body}");
+    assert_eq!(states(&body), ["fetched", "pruned", "pruned", "fetched"]);
+    assert_eq!(body["found"][1], json!({"bucket": 3, "item": "get of shard 3"}));
+    let calls = nodes[0][0].calls();
+    let [first, second] = &calls[..] else { panic!("a match and a fetch: {calls:?}") };
+    assert!(first.id.ends_with(",m.0") && first.text == "find" && first.list.ends_with(",p=match"));
+    assert!(!first.list.contains("k="), "a match changes nothing: {first:?}");
+    assert!(second.id.ends_with(",f.0") && second.text == "get" && second.list.contains(",k=k"));
+    assert_eq!(nodes[1][0].calls().len(), 1);
+    let counters = ["phased_taken", "phased_whole", "blocks_fetched", "blocks_pruned"];
+    assert_eq!(counters.map(|name| router.counter(name)), [1, 1, 2, 2]);
+}
+
+#[test]
+fn plain_multigets_go_on_beside_them() {
+    let quick = |matches| (phased(matches, Some(QUICK)), 1);
+    let (router, nodes, _discovery) = deploy([quick(true), quick(true), quick(true), quick(true)]);
+    let answer = router.ask("page", &[0, 1], "2");
+    assert!(answer.starts_with("HTTP/1.1 200") && !answer.contains("blocks"), "{answer}");
+    let call = &nodes[0][0].calls()[0];
+    assert!(!call.id.contains(',') && !call.list.contains("p="), "{call:?}");
+}
+
+#[test]
+fn a_pruned_block_whose_only_store_stalls_costs_nothing() {
+    let quick = (phased(true, Some(QUICK)), 2);
+    let stalls = (phased(false, None), 1);
+    let (router, nodes, _discovery) = deploy([quick, quick, quick, stalls]);
+    let answers = load(&router, 200);
+    assert!(answers.iter().all(|(status, body, _)| *status == 200 && body["finished"] == json!(true)));
+    assert!(answers.iter().all(|(_, _, took)| *took < GOAL), "no late answer");
+    let fetches = nodes[3][0].calls().iter().filter(|call| call.list.contains("p=fetch")).count();
+    assert_eq!((fetches, router.counter("second_phase_failed")), (0, 0));
+}
+
+#[test]
+fn where_a_needed_block_stalls_most_queries_are_refused_before_they_fail_late() {
+    let quick = (phased(true, Some(QUICK)), 2);
+    // It answers matches at once and no fetch ever; it is the only store of its block.
+    let stalls = (phased(true, None), 1);
+    let (router, _nodes, _discovery) = deploy([quick, quick, quick, stalls]);
+    let answers = load(&router, 240);
+    assert_eq!(answers.len(), 240, "one answer each");
+    assert!(answers.iter().all(|(status, _, _)| *status != 200), "none can be whole, and none says so");
+    // The hard limit is the client's, 1.2 s; no answer comes past the goal time but for the way back.
+    assert!(answers.iter().all(|(_, _, took)| *took < GOAL + Duration::from_millis(200)));
+    let names = ["second_phase_failed", "second_phase_refused", "first_phase_refused"];
+    let [failed, refused, first] = names.map(|name| router.counter(name));
+    println!("failed late {failed}, refused between the phases {refused}, before {first}, of 240");
+    assert_eq!(failed + refused + first, 240);
+    // Eight clients ask at once, so eight find out; a store that fails is tried again now and then.
+    assert!((8..=48).contains(&failed), "{failed} of 240 failed late");
+}
--- a/examples/stand-in/src/node.rs
+++ b/examples/stand-in/src/node.rs
@@ -1,7 +1,9 @@
 //! A data node: answers each part with its shard and text, or misbehaves as told.
 
+use fernknot::interface::ShardId;
 use fernknot_protocol::buffer::Buffer;
 use fernknot_protocol::frames::{self, RawFrame};
+use fernknot_protocol::matches::{self, Match, Names};
 use std::io::{Read, Result, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -20,6 +22,13 @@
     Endless,
     /// Answers, and sends a little more behind that.
     Noisy,
+    /// Asked in two phases: says after a while whether its blocks match, and answers fetches after
+    /// another, or never. Anything else it answers at once.
+    Phased {
+        matches: bool,
+        match_after: Duration,
+        fetch_after: Option<Duration>,
+    },
     Fault,
     Overload,
     Silent,
@@ -142,6 +151,25 @@
             thread::sleep(wait);
             write(stream, b'E', ended("hit", &call.id, &value).as_bytes())
         }
+        Behaviour::Phased { matches, match_after, fetch_after } => {
+            let phase = call.list.split(',').find_map(|word| word.strip_prefix("p="));
+            let value = match phase {
+                Some("match") => {
+                    thread::sleep(match_after);
+                    let blocks = if matches { vec![ShardId(call.shard)] } else { Vec::new() };
+                    matches::write(&Match { names: Names::Blocks(blocks), sketch: None })
+                }
+                Some(_) => match fetch_after {
+                    Some(wait) => {
+                        thread::sleep(wait);
+                        value
+                    }
+                    None => return Ok(()),
+                },
+                None => value,
+            };
+            write(stream, b'E', ended("hit", &call.id, &value).as_bytes())
+        }
         Behaviour::Strange => {
             write(stream, b'E', ended("hit", "nobody.0", &value).as_bytes())?;
             write(stream, b'E', ended("hit", &call.id, &value).as_bytes())
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -88,6 +88,8 @@
 /// While the delay that multigets meet fills more than this share of the goal time in the mean, and that of
 /// a second phase as much of what is left, its estimate over all parts must reach the target.
 const CROWDED: f64 = 0.2;
+/// At any other time a second phase is refused only if it is likelier to fail than not.
+const LIKELY: f64 = 0.5;
 /// The part of the ration of further hand-offs that copies in the first of two phases may use.
 const FIRST_RATION: f64 = 0.5;
 /// A share counts as reached when it falls short by no more than rounding.
@@ -268,8 +270,7 @@
             client_end: arrival.client_end,
             second: None,
             promised: 0.0,
-            needs: None,
-            base: 0.0,
+            opened: None,
             parts: Vec::new(),
             step_from: 0,
             fresh: true,
@@ -298,7 +299,7 @@
     /// Opens the second phase of a multiget whose first one was settled; its parts follow.
     pub fn second(&mut self, id: MultigetId, step: SecondStep) {
         let Some(multiget) = self.open.get_mut(&id).filter(|held| held.step_from > 0) else { return };
-        (multiget.needs, multiget.base, multiget.first_whole) = (step.needs, step.base, step.whole);
+        (multiget.opened, multiget.first_whole) = (Some(step), step.whole);
         self.touched.push_back(id);
     }
 
@@ -328,6 +329,7 @@
         let Some(multiget) = self.open.get_mut(&arrival.part.of) else { return };
         // A first phase only asks.
         let effect = if multiget.second.is_some() { Effect::Replayable } else { case.effect };
+        let kind = (use_case, multiget.opened.is_some());
         multiget.parts.push(Part {
             id: arrival.part,
             shard: arrival.shard,
@@ -335,6 +337,7 @@
             size,
             hint,
             effect,
+            kind,
             hand_offs: Vec::new(),
             answered: false,
             given_up: false,
@@ -366,7 +369,11 @@
         if !matches!(ending.outcome, Outcome::CalledOff | Outcome::NeverSent) {
             // A replica that fails fast would look quick if only answers were measured; one that
             // fails some kind of work alone would look well if all kinds were counted together.
-            let kind = node.kinds.entry(multiget.use_case).or_default();
+            let kind = node.kinds.entry(part.kind).or_default();
+            // Late is not never here either.
+            if sent.missed && part.kind.1 && !failed {
+                kind.take_failure();
+            }
             kind.add(failed);
             node.failures.add(failed);
             self.failures.add(failed);
@@ -517,7 +524,7 @@
         let least = multiget.second.map_or(least, |facts| facts.least);
         let weigh = |keep: fn(&Part) -> bool| -> f64 {
             let weights = multiget.step().iter().filter(|part| keep(part)).map(|part| part.weight);
-            weights.sum::<f64>() + multiget.base + ROUNDING
+            weights.sum::<f64>() + multiget.opened.map_or(0.0, |step| step.base) + ROUNDING
         };
         let waits = multiget.step().is_empty();
         let answered = weigh(|part| part.answered);
@@ -563,8 +570,7 @@
         multiget.fresh = false;
         let (use_case, customer, second) = (multiget.use_case, multiget.customer, multiget.step_from > 0);
         let left = multiget.aim_end - now;
-        let (base, facts) = (multiget.base, multiget.second);
-        let (needs, rest) = (multiget.needs, multiget.until - now);
+        let (facts, opened, rest) = (multiget.second, multiget.opened, multiget.until - now);
         let parts = multiget.step().to_vec();
         self.use_cases[use_case.0].work.add(parts.iter().map(|part| part.size).sum(), SIZE_GAIN);
         let mut planned = BTreeMap::new();
@@ -579,18 +585,20 @@
         offers.sort_by_key(|(delay, _, part)| (*delay, part.id));
         let case = &self.use_cases[use_case.0];
         // The delay by which enough of the parts would be in for an answer.
-        let mut reached = base + ROUNDING;
-        let enough = offers.iter().find(|(_, _, part)| {
+        let mut reached = opened.map_or(0.0, |step| step.base) + ROUNDING;
+        let enough = offers.iter().position(|(_, _, part)| {
             reached += part.weight;
             reached >= case.floor
         });
-        let delay = enough.or(offers.last()).map_or(Nanos(0), |(delay, _, _)| *delay);
+        let enough = &offers[..enough.map_or(offers.len(), |last| last + 1)];
+        let delay = enough.last().map_or(Nanos(0), |(delay, _, _)| *delay);
         // Guards against a second phase that is likelier late than not, and where all is slow against one
         // that is not likely enough in time: it is refused before any of it is sent.
-        let chance: f64 = offers.iter().map(|(_, offer, _)| offer.map_or(0.0, |offer| offer.phi)).product();
+        let chance: f64 = enough.iter().map(|(_, offer, _)| offer.map_or(0.0, |offer| offer.phi)).product();
         let crowded = self.met.get() > Some(CROWDED) && delay > rest.times(CROWDED);
-        let unlikely = delay.max(needs.unwrap_or_default()) > rest || crowded && chance < TARGET;
-        if needs.is_some() && unlikely {
+        let level = if crowded { TARGET } else { LIKELY };
+        let needs = opened.and_then(|step| step.needs);
+        if needs.is_some_and(|needs| delay.max(needs) > rest || chance < level) {
             self.shed_at = Some(now);
             self.give_up(now, id);
             return false;
@@ -754,6 +762,10 @@
                 self.lost[usize::from(sent.idle)].add(true);
                 if let Some(node) = self.nodes.get_mut(&sent.node) {
                     node.latencies.add_miss();
+                    // Guards against a store that answers what matches and stalls on what is fetched.
+                    if part.kind.1 {
+                        node.kinds.entry(part.kind).or_default().add(true);
+                    }
                     if let Some((_, overdue)) = node.out.get_mut(&(sent.sent, part.id, no)) {
                         *overdue = true;
                     }
@@ -887,11 +899,11 @@
 
     /// The share of a replica's answers within `target`, over sizes; one that has not been heard
     /// from counts as average.
-    fn phi(&self, node: &Node, use_case: UseCaseId, target: f64) -> f64 {
+    fn phi(&self, node: &Node, kind: Kind, target: f64) -> f64 {
         let average = (self.latencies.under(target) + 1.0) / (self.latencies.total() + 1.0);
         let in_time = (node.latencies.under(target) + PRIOR * average) / (node.latencies.total() + PRIOR);
         let failures = node.failures.share(self.failures.share(0.0, 1.0), PRIOR);
-        let kind = node.kinds.get(&use_case).copied().unwrap_or_default();
+        let kind = node.kinds.get(&kind).copied().unwrap_or_default();
         in_time * (1.0 - kind.share(failures, PRIOR))
     }
 
@@ -906,7 +918,6 @@
     /// The replica for a part: the highest share of answers within what is left of the goal
     /// time, cut by the delay that its work in hand adds to the usual; equals in turn.
     fn choose(&self, now: Nanos, part: &Part, left: Nanos, planned: &BTreeMap<NodeId, f64>) -> Option<Offer> {
-        let use_case = self.open.get(&part.id.of)?.use_case;
         let holders = self.holders(part.shard);
         let first = part.hand_offs.is_empty();
         let turn = self.turns.get(&part.shard).filter(|_| first).copied().unwrap_or(0);
@@ -921,7 +932,7 @@
             let delay = self.delay(now, node, more);
             let usual = node.latencies.fastest(1.0).map_or(0.0, |(mean, _)| mean) * part.size;
             let target = left.0 as f64 - (delay - usual).max(0.0);
-            let phi = self.phi(node, use_case, target.max(0.0) / part.size);
+            let phi = self.phi(node, part.kind, target.max(0.0) / part.size);
             let order = (index + holders.len() - turn % holders.len()) % holders.len();
             Some((phi, ((delay / step) as u64, order), Offer { node: *id, delay: Nanos(delay as u64), phi }))
         };
@@ -1029,7 +1040,8 @@
         let size = case.size.get().unwrap_or(1.0);
         let mut nodes: Vec<&Node> = self.holders(shard).iter().map(|id| &self.nodes[id]).collect();
         let goal = case.goal.0 as f64 / size;
-        nodes.sort_by(|one, other| self.phi(other, use_case, goal).total_cmp(&self.phi(one, use_case, goal)));
+        let kind = (use_case, false);
+        nodes.sort_by(|one, other| self.phi(other, kind, goal).total_cmp(&self.phi(one, kind, goal)));
         let mut alone = 0.0;
         for copies in 1..=nodes.len() {
             let mut phis = Vec::new();
@@ -1042,7 +1054,7 @@
                 let busy = busy * copies as f64 / self.mean_copies;
                 busiest = busiest.max(busy);
                 let network = self.tick.0 as f64 / size;
-                phis.push(self.phi(node, use_case, cut_target(goal, mean, cv2, busy, network)));
+                phis.push(self.phi(node, kind, cut_target(goal, mean, cv2, busy, network)));
             }
             let level = service_level(&phis);
             if copies == 1 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -219,6 +219,11 @@
         self.all += 1.0;
     }
 
+    pub fn take_failure(&mut self) {
+        self.failed = (self.failed - 1.0).max(0.0);
+        self.all = (self.all - 1.0).max(self.failed);
+    }
+
     pub fn halve(&mut self) {
         self.failed /= 2.0;
         self.all /= 2.0;
@@ -270,6 +275,9 @@
     pub missed: bool,
 }
 
+/// A use case, and whether it is the second of its two phases.
+pub type Kind = (UseCaseId, bool);
+
 #[derive(Clone, Debug)]
 pub struct Part {
     pub id: PartId,
@@ -279,6 +287,7 @@
     /// Logarithm of the work hinted at.
     pub hint: Option<f64>,
     pub effect: Effect,
+    pub kind: Kind,
     pub hand_offs: Vec<HandOff>,
     pub answered: bool,
     pub given_up: bool,
@@ -305,9 +314,8 @@
     /// Of its second phase, while the first one runs, and the work counted as promised to it.
     pub second: Option<SecondFacts>,
     pub promised: f64,
-    /// Of its second phase, once that is open: the time needed, and the share that needs no part.
-    pub needs: Option<Nanos>,
-    pub base: f64,
+    /// Its second phase, once that is open.
+    pub opened: Option<SecondStep>,
     pub parts: Vec<Part>,
     /// Where the parts of the present step begin.
     pub step_from: usize,
@@ -362,9 +370,9 @@
     pub since: Nanos,
     /// Latencies over sizes, misses among them.
     pub latencies: Histogram,
-    /// Failures, all and by use case.
+    /// Failures, all and by kind of work.
     pub failures: Tally,
-    pub kinds: BTreeMap<UseCaseId, Tally>,
+    pub kinds: BTreeMap<Kind, Tally>,
     /// Time that a part took for each size of work in hand when it was sent.
     pub pace: RunningMean,
     /// Hand-offs that are out: their sizes, and whether they are overdue.
