--- a/crates/fernknot-phases/src/spans.rs
+++ b/crates/fernknot-phases/src/spans.rs
@@ -5,7 +5,7 @@
 
 /// What is older than twice this is forgotten, what is younger than it counts in full.
 const TURN: Nanos = Nanos(4_000_000_000);
-/// Spans are kept in microseconds, up to ten minutes, to one significant digit or better: about 12 kB.
+/// Spans are kept in microseconds, up to ten minutes, to one significant digit or better: about 3.5 kB in all.
 const MOST_US: u64 = 600_000_000;
 const DIGITS: u8 = 1;
 /// With fewer spans than this nothing is said of their spread.
