Give each phase its part of the goal time where both are long

Cause: the times of first phases were kept and not used; a first phase was cut short for a second one that could not be in time either.

Change: where the 0.9 quantiles of both phases together pass the goal time, each gets its part of it.

--- a/crates/fernknot-phases/src/phases.rs
+++ b/crates/fernknot-phases/src/phases.rs
@@ -122,6 +122,11 @@
         // Unknown, it is held to take what the bounds leave in the middle.
         let middle = goal.times(1.0 - (self.facts.first_least + self.facts.first_most) / 2.0);
         let taken = if parts > 0.0 { self.takes(now, parts, NEED).unwrap_or(middle) } else { Nanos(0) };
+        // Where both phases are long, each gets its part. Guards against a first phase that is cut short for
+        // a second one that could not be in time either.
+        let first = self.first.quantile(now, NEED).unwrap_or_default();
+        let both = (first + taken).0.max(1);
+        let taken = if both > goal.0 { goal.times(taken.0 as f64 / both as f64) } else { taken };
         taken.clamp(goal.times(1.0 - self.facts.first_most), goal.times(1.0 - self.facts.first_least))
     }
 }
