--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,7 +4,7 @@
 use std::ops::{Add, Sub};
 
 /// Whole nanoseconds, of the host's clock or as a span.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Nanos(pub u64);
 
 impl Nanos {
