Give a connection to a node a file of its own, so that no two files name each other

Cause: nodes and their connections still named each other after the engine had left the router.

Change: what is on one connection stands in node_link.rs; no file of the router names one that names it.

--- a/crates/fernknot-router/src/hand_offs.rs
+++ b/crates/fernknot-router/src/hand_offs.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Core;
 use crate::ids::LinkId;
-use crate::node_links::{Carried, Item, Stage};
+use crate::node_link::{Carried, Item, Stage};
 use crate::nodes::Nodes;
 use fernknot::interface::*;
 use slog::debug;
--- a/crates/fernknot-router/src/nodes.rs
+++ b/crates/fernknot-router/src/nodes.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Core;
 use crate::ids::{LinkId, Timer};
-use crate::node_links::{NodeLink, Stage};
+use crate::node_link::{NodeLink, Stage};
 use fernknot::interface::*;
 use fernknot_protocol::discovery::List;
 use fernknot_protocol::news::Tags;
