--- a/crates/fernknot-config/src/start.rs
+++ b/crates/fernknot-config/src/start.rs
@@ -2,7 +2,7 @@
 
 use crate::facts::{Facts, SocketFacts};
 use crate::limits::Limits;
-use fernknot::interface::SiteFacts;
+use fernknot::interface::{Nanos, SiteFacts};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
@@ -19,9 +19,19 @@
     peers: Vec<String>,
     peers_all: Option<String>,
     known: Option<Box<RawValue>>,
+    fleet: Option<FleetGiven>,
     settings: Facts,
 }
 
+/// Membership among the routers; off where the key is left out.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FleetGiven {
+    /// Milliseconds.
+    period: Option<f64>,
+    datagrams: Option<f64>,
+}
+
 #[derive(Deserialize)]
 struct Bounds {
     memory_mb: f64,
@@ -37,6 +47,18 @@
     pub all: SocketAddr,
 }
 
+/// How routers keep track of each other.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetStart {
+    /// One other router is probed in each.
+    pub period: Nanos,
+    /// The most datagrams that a router sends for it in a second.
+    pub datagrams_per_s: f64,
+    /// Prints of the routers' addresses and of this one's name, the same at every router.
+    pub routers: Vec<u32>,
+    pub name: u32,
+}
+
 #[derive(Debug)]
 pub struct Start {
     pub name: String,
@@ -48,6 +70,7 @@
     /// The list as it was last known, in discovery's form.
     pub known: Option<Box<RawValue>>,
     pub told: Option<Told>,
+    pub fleet: Option<FleetStart>,
     pub site: SiteFacts,
     pub sockets: SocketFacts,
     pub limits: Limits,
@@ -115,6 +138,8 @@
             (true, None, _) => return Err("peer_listen: missing, though settings.allowed.peers".to_string()),
             (true, _, None) => return Err("peers_all: missing, though settings.allowed.peers".to_string()),
         };
+        let fleet =
+            file.fleet.map(|given| fleet(&given, &name, told.as_ref(), sockets.position)).transpose()?;
         Ok(Start {
             name,
             listen: address("listen", &listen)?,
@@ -123,6 +148,7 @@
             verbose,
             known: file.known,
             told,
+            fleet,
             limits: Limits::new(file.limits.sockets, file.limits.memory_mb, &sockets)?,
             site,
             sockets,
@@ -144,3 +170,33 @@
 fn address(key: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{key}: {text:?} is no address with a port"))
 }
+
+/// FNV-1a: a short name that is the same at every router.
+fn print(text: &str) -> u32 {
+    text.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+fn fleet(given: &FleetGiven, name: &str, told: Option<&Told>, position: usize) -> Result<FleetStart, String> {
+    let told = told.ok_or("fleet: needs settings.allowed.peers, and more than one of settings.balancers")?;
+    let (period, datagrams_per_s) = (given.period.unwrap_or(400.0), given.datagrams.unwrap_or(16.0));
+    if !(20.0..=60_000.0).contains(&period) {
+        return Err(format!("fleet.period: {period} is not between 20 and 60000 milliseconds"));
+    }
+    // Fewer would not let it answer those that probe it.
+    let least = 4.0 * 1000.0 / period;
+    if !(datagrams_per_s >= least && datagrams_per_s <= 10_000.0) {
+        return Err(format!("fleet.datagrams: {datagrams_per_s} is not between {least} and 10000 a second"));
+    }
+    if position >= told.peers.len() {
+        return Err(format!("settings.position: {position} is none of the {} of peers", told.peers.len()));
+    }
+    let routers: Vec<u32> = told.peers.iter().map(|peer| print(&peer.to_string())).collect();
+    for (index, id) in routers.iter().enumerate() {
+        if let Some(first) = routers[..index].iter().position(|other| other == id) {
+            return Err(format!(
+                "peers[{index}]: has the address, or the address's print, of peers[{first}]"
+            ));
+        }
+    }
+    Ok(FleetStart { period: Nanos::from_millis(period), datagrams_per_s, routers, name: print(name) })
+}
--- a/crates/fernknot-engine/src/engine.rs
+++ b/crates/fernknot-engine/src/engine.rs
@@ -115,6 +115,11 @@
         self.module.list_lost(now);
     }
 
+    /// Among how many routers limits are shared from now on.
+    pub fn shared_by(&mut self, now: Nanos, routers: usize) {
+        self.module.shared_by(now, routers);
+    }
+
     pub fn told(&mut self, now: Nanos, from: PeerId, news: &[(NodeId, News)]) {
         self.module.told(now, from, news);
     }
--- a/crates/fernknot-lab/src/lib.rs
+++ b/crates/fernknot-lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Experiments on the real engine in simulated time: scripted stores, clients and a network in one
 //! process, from one seed, the same byte for byte each time.
 
+pub mod fleet;
 pub mod report;
 pub mod stores;
 pub mod two_phase;
--- a/crates/fernknot-lab/src/main.rs
+++ b/crates/fernknot-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! `fernknot-lab NAME`: runs an experiment and prints its figures.
 
 use clap::{Args, Parser, Subcommand};
-use fernknot_lab::{report, two_phase};
+use fernknot_lab::{fleet, report, two_phase};
 use std::process::ExitCode;
 
 #[derive(Parser)]
@@ -31,13 +31,39 @@
 enum Experiment {
     /// Queries in two phases: the split, the refusal and the pruning, each against its absence.
     TwoPhase(Runs),
+    /// Membership among query routers: each scenario against plain SWIM and fixed heartbeats.
+    Fleet {
+        #[command(flatten)]
+        runs: Runs,
+        #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u32).range(3..=3000))]
+        routers: u32,
+        /// One scenario alone.
+        #[arg(long, value_parser = fleet::SCENARIOS)]
+        scenario: Option<String>,
+        /// One variant alone.
+        #[arg(long, value_parser = fleet::VARIANTS)]
+        variant: Option<String>,
+    },
+}
+
+impl Runs {
+    fn seeds(&self) -> std::ops::Range<u64> {
+        self.seed..self.seed.saturating_add(self.seeds)
+    }
 }
 
 fn main() -> ExitCode {
-    let Cli { experiment: Experiment::TwoPhase(runs) } = Cli::parse();
-    let results = two_phase::results(runs.seed..runs.seed.saturating_add(runs.seeds), runs.seconds);
-    let rows: Vec<_> = results.iter().map(|result| &result.row).collect();
-    let text = if runs.json { report::json(&rows) } else { report::table(&two_phase::means(&results)) };
+    let text = match Cli::parse().experiment {
+        Experiment::TwoPhase(runs) => {
+            let results = two_phase::results(runs.seeds(), runs.seconds);
+            let rows: Vec<_> = results.iter().map(|result| &result.row).collect();
+            if runs.json { report::json(&rows) } else { report::table(&two_phase::means(&results)) }
+        }
+        Experiment::Fleet { runs, routers, scenario, variant } => {
+            let rows = fleet::results(runs.seeds(), routers, scenario.as_deref(), variant.as_deref());
+            if runs.json { report::json(&rows) } else { report::table(&rows) }
+        }
+    };
     print!("{text}");
     ExitCode::SUCCESS
 }
--- a/crates/fernknot-router/src/app.rs
+++ b/crates/fernknot-router/src/app.rs
@@ -8,6 +8,7 @@
 use crate::discovery::Discovery;
 use crate::ids::{Heard, Source, Timer};
 use crate::logs::Lines;
+use crate::membership::Membership;
 use crate::nodes::Nodes;
 use crate::peers::Peers;
 use calloop::EventLoop;
@@ -44,6 +45,9 @@
     let clock = Clock::new();
     let now = clock.now();
     let clients = Clients::new(&handle, start.listen).map_err(told("listen"))?;
+    let fleet = start.fleet.as_ref().zip(start.told.as_ref()).map(|(fleet, told)| {
+        Membership::new(start.seed, fleet, told, start.sockets.position, start.limits.datagram, now)
+    });
     let peers = start.told.map(|told| Peers::new(&handle, told, start.sockets.position));
     let peers = peers.transpose().map_err(told("peer_listen"))?;
     let core = Core {
@@ -52,6 +56,7 @@
         facts: start.sockets,
         counters: Counters::default(),
         timers: BTreeSet::new(),
+        fleet,
         has_list: false,
         stop_by: None,
         lingered: false,
@@ -80,7 +85,8 @@
     /// The next time at which something is due.
     fn next_due(&self) -> Option<Nanos> {
         let timer = self.core.timers.first().map(|(at, _)| *at);
-        timer.into_iter().chain(self.core.engine.due()).min()
+        let fleet = self.core.fleet.as_ref().map(Membership::due);
+        timer.into_iter().chain(self.core.engine.due()).chain(fleet).min()
     }
 
     fn timeout(&self) -> Duration {
@@ -99,6 +105,7 @@
             let until = core.now + core.limits.linger;
             core.stop_by = Some(until + core.limits.last_answers);
             core.timers.insert((until, Timer::Linger));
+            core.fleet.iter_mut().for_each(|fleet| fleet.leave(core.now));
         }
     }
 
@@ -113,6 +120,11 @@
                 info!(core.log, "configuration taken"; "discovery" => %start.discovery);
                 core.limits = start.limits;
                 self.discovery.move_discovery(core, start.discovery);
+                // Where membership is on, the list of routers may change while they run.
+                if let (Some(fleet), Some(given), Some(told)) = (&mut core.fleet, start.fleet, start.told) {
+                    fleet.list(core.now, &given, &told);
+                    self.peers.iter_mut().for_each(|peers| peers.list(told.clone(), start.sockets.position));
+                }
             }
             Err(why) => {
                 core.counters.configurations_bad += 1;
@@ -128,6 +140,7 @@
     fn turn(&mut self, heard: &mut Heard) {
         self.core.now = self.clock.now();
         self.core.counters.turns += 1;
+        self.core.fleet.iter_mut().for_each(|fleet| fleet.woke(self.core.now));
         if let Some(at) = self.next_due() {
             let late = (self.core.now - at).0 / 1000;
             self.core.counters.longest_late_us = self.core.counters.longest_late_us.max(late);
@@ -175,6 +188,8 @@
                 break;
             }
         }
+        let App { core, peers, .. } = self;
+        peers.iter().for_each(|peers| peers.keep_track(core));
         self.lines.flush();
         let took = (self.clock.now() - self.core.now).0 / 1000;
         self.core.counters.longest_turn_us = self.core.counters.longest_turn_us.max(took);
--- a/crates/fernknot-router/src/clients.rs
+++ b/crates/fernknot-router/src/clients.rs
@@ -386,6 +386,10 @@
                 let text = core.counters_text();
                 self.answer(core, id, 200, None, text.as_bytes());
             }
+            ("GET", "/fleet") if core.fleet.is_some() => {
+                let text = core.fleet.as_ref().map(|fleet| fleet.text(core.now)).unwrap_or_default();
+                self.answer(core, id, 200, None, text.as_bytes());
+            }
             _ => match multiget::asked(&request, &core.facts, &core.limits) {
                 // Guards a client's open request against another's under its id: nodes know no other name.
                 Ok(asked) if core.engine.table.is_open(&asked.id) => {
--- a/crates/fernknot-router/src/core.rs
+++ b/crates/fernknot-router/src/core.rs
@@ -4,6 +4,7 @@
 use crate::counters::Counters;
 use crate::ids::Timer;
 use crate::link::Handle;
+use crate::membership::Membership;
 use fernknot::interface::Nanos;
 use fernknot_config::{Limits, SocketFacts};
 use fernknot_engine::Engine;
@@ -20,6 +21,8 @@
     pub counters: Counters,
     pub engine: Engine,
     pub timers: BTreeSet<(Nanos, Timer)>,
+    /// Which routers live, where that is asked for.
+    pub fleet: Option<Membership>,
     pub has_list: bool,
     /// When all must have been answered, once the order to stop has come.
     pub stop_by: Option<Nanos>,
@@ -29,6 +32,7 @@
 impl Core {
     /// All counters, a line each.
     pub fn counters_text(&self) -> String {
-        self.engine.counters.text() + &self.counters.text()
+        let fleet = self.fleet.as_ref().map(|fleet| fleet.counters.text());
+        self.engine.counters.text() + &self.counters.text() + &fleet.unwrap_or_default()
     }
 }
--- a/crates/fernknot-router/src/main.rs
+++ b/crates/fernknot-router/src/main.rs
@@ -10,6 +10,7 @@
 mod ids;
 mod link;
 mod logs;
+mod membership;
 mod node_link;
 mod node_links;
 mod nodes;
--- a/crates/fernknot-router/src/peers.rs
+++ b/crates/fernknot-router/src/peers.rs
@@ -5,6 +5,7 @@
 use crate::link::{Handle, watch};
 use fernknot::interface::{News, NodeId, PeerId};
 use fernknot_config::Told;
+use fernknot_fleet::MARK;
 use fernknot_protocol::news::Tags;
 use std::io::{ErrorKind, Result};
 use std::net::UdpSocket;
@@ -34,12 +35,37 @@
         }
     }
 
+    /// Sends what membership has to say.
+    pub fn keep_track(&self, core: &mut Core) {
+        let Some(fleet) = core.fleet.as_mut() else { return };
+        while let Some((to, bytes)) = fleet.next(core.now, &core.log) {
+            match self.socket.send_to(&bytes, to) {
+                Ok(_) => fleet.counters.fleet_datagrams_sent += 1,
+                Err(_) => fleet.counters.fleet_datagrams_dropped += 1,
+            }
+        }
+        if let Some(routers) = fleet.newly_shared(core.now, &core.log) {
+            core.engine.shared_by(core.now, routers);
+        }
+    }
+
+    /// Takes another list of routers; numbers of those that tell of nodes follow it.
+    pub fn list(&mut self, told: Told, own: usize) {
+        (self.told, self.own) = (told, own);
+    }
+
     pub fn hear(&self, core: &mut Core, tags: &Tags) {
         let mut message = vec![0; core.limits.datagram + 1];
         // Guards the rest of the turn against a flood.
         for _ in 0..core.limits.datagrams {
             match self.socket.recv_from(&mut message) {
                 Ok((length, from)) => {
+                    if let Some(fleet) =
+                        core.fleet.as_mut().filter(|_| message[..length].starts_with(&[MARK]))
+                    {
+                        fleet.heard(core.now, from, &message[..length]);
+                        continue;
+                    }
                     let known = self.told.peers.iter().position(|peer| *peer == from);
                     let fits = |index: &usize| *index != self.own && length <= core.limits.datagram;
                     let from = known.filter(fits).map(|index| PeerId(index as u32));
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -94,6 +94,8 @@
     by_work: bool,
     unmarked: bool,
     zone: Option<ZoneId>,
+    /// Among how many routers limits are shared.
+    sharers: f64,
     /// Multigets within each customer's share at this router.
     shares: Vec<Allowance>,
     tick: Nanos,
@@ -170,25 +172,14 @@
         let goal = facts.use_cases.iter().map(|case| case.goal).min();
         let shortest_goal = goal.unwrap_or(RECOMPUTE).max(facts.tick);
         let bins = Histogram::new(shortest_goal.0 as f64 * FIRST_BIN, BIN_RATIO, BINS);
-        let use_cases = facts.use_cases.iter().map(|case| UseCase {
-            goal: case.goal,
-            hard_limit: case.hard_limit,
-            late_share: case.late_share,
-            earnings: case.earnings,
-            effect: case.effect,
-            stretch: case.stretch,
-            need: case.need,
-            floor: case.floor,
-            second_step: case.second_step,
-            latencies: bins.clone(),
-            ..UseCase::default()
-        });
+        let use_cases = facts.use_cases.iter().map(|case| UseCase::new(case, &bins));
         let own_share = |rate: &f64| {
             let rate = rate / facts.routers.max(1) as f64;
             Allowance::new(rate, rate.max(1.0) * SHARE_SPAN, now)
         };
         Router {
             use_cases: use_cases.collect(),
+            sharers: facts.routers.max(1) as f64,
             shares: facts.customers.iter().map(own_share).collect(),
             tick: facts.tick,
             shortest_goal,
@@ -264,7 +255,6 @@
         let multiget = Multiget {
             use_case: arrival.use_case,
             customer: arrival.customer,
-            taken_at: now,
             aim_end: end(case.goal),
             until,
             whole_ends: (end(case.goal), until),
@@ -430,6 +420,16 @@
         }
     }
 
+    /// Among how many routers limits are shared from now on.
+    pub fn shared_by(&mut self, now: Nanos, routers: usize) {
+        let grown = self.sharers / routers.max(1) as f64;
+        self.sharers = routers.max(1) as f64;
+        self.shares.iter_mut().for_each(|share| share.scale(now, grown));
+        // What fewer routers were answered is more than the part of each of many. Guards cold replicas against
+        // routers that come back; where some are lost, what the others are answered grows by itself.
+        self.bears.scale(grown.min(1.0));
+    }
+
     fn tell(&mut self, now: Nanos, node: NodeId, what: News) {
         if self.peers {
             self.news.push((node, what));
--- a/src/state.rs
+++ b/src/state.rs
@@ -145,10 +145,22 @@
         Allowance { rate, limit, left: limit, since: now }
     }
 
-    /// Draws one, if there is one.
-    pub fn draw(&mut self, now: Nanos) -> bool {
+    /// A rate so many times as high from now on.
+    pub fn scale(&mut self, now: Nanos, factor: f64) {
+        self.fill(now);
+        self.rate *= factor;
+        self.limit = (self.limit * factor).max(1.0);
+        self.left = self.left.min(self.limit);
+    }
+
+    fn fill(&mut self, now: Nanos) {
         self.left = (self.left + self.rate * (now - self.since).0 as f64 / 1e9).min(self.limit);
         self.since = now;
+    }
+
+    /// Draws one, if there is one.
+    pub fn draw(&mut self, now: Nanos) -> bool {
+        self.fill(now);
         let enough = self.left >= 1.0;
         if enough {
             self.left -= 1.0;
@@ -172,6 +184,10 @@
         self.add(value, gain);
     }
 
+    pub fn scale(&mut self, factor: f64) {
+        self.0 = self.0.map(|mean| mean * factor);
+    }
+
     pub fn get(&self) -> Option<f64> {
         self.0
     }
@@ -306,7 +322,6 @@
 pub struct Multiget {
     pub use_case: UseCaseId,
     pub customer: CustomerId,
-    pub taken_at: Nanos,
     /// When to have answered: the goal time, or sooner where clients leave sooner.
     pub aim_end: Nanos,
     /// When nothing more can be earned.
@@ -360,6 +375,25 @@
     pub work: RunningMean,
 }
 
+impl UseCase {
+    /// As the settings have it, with nothing measured.
+    pub fn new(facts: &UseCaseFacts, bins: &Histogram) -> UseCase {
+        UseCase {
+            goal: facts.goal,
+            hard_limit: facts.hard_limit,
+            late_share: facts.late_share,
+            earnings: facts.earnings,
+            effect: facts.effect,
+            stretch: facts.stretch,
+            need: facts.need,
+            floor: facts.floor,
+            second_step: facts.second_step,
+            latencies: bins.clone(),
+            ..UseCase::default()
+        }
+    }
+}
+
 /// What is known of a data node.
 #[derive(Clone, Debug)]
 pub struct Node {
