--- a/crates/fernknot-config/tests/start.rs
+++ b/crates/fernknot-config/tests/start.rs
@@ -131,3 +131,38 @@
     assert!(buffered as f64 <= memory_mb * 1024.0 * 1024.0 / 2.0);
     assert!(limits.node_idle < Nanos(15_000_000_000) && limits.watch_pace < Nanos(200_000_000));
 }
+
+/// The example as one of three routers that may talk, with membership as given.
+fn with_fleet(fleet: Value, change: impl Fn(&mut Value)) -> String {
+    let mut config: Value = serde_json::from_str(EXAMPLE).unwrap();
+    config["settings"]["allowed"]["peers"] = json!(true);
+    config["settings"]["balancers"] = json!(3);
+    config["peer_listen"] = json!("127.0.0.1:7946");
+    config["peers_all"] = json!("127.0.0.9:7946");
+    config["peers"] = json!(["127.0.0.1:7946", "127.0.0.2:7946", "127.0.0.3:7946"]);
+    config["fleet"] = fleet;
+    change(&mut config);
+    config.to_string()
+}
+
+#[test]
+fn membership_is_off_unless_asked_for_and_has_defaults() {
+    let parse = |text: &str| Start::parse(text, First::Environment, |_| None).unwrap().fleet;
+    assert_eq!(parse(EXAMPLE), None);
+    let fleet = parse(&with_fleet(json!({}), |_| {})).unwrap();
+    assert_eq!(
+        (fleet.period, fleet.datagrams_per_s, fleet.routers.len()),
+        (Nanos::from_millis(400.0), 16.0, 3)
+    );
+}
+
+#[test_case(json!({"period": 1}), |_| {}, "fleet.period: 1 "; "too quick")]
+#[test_case(json!({"datagrams": 2}), |_| {}, "fleet.datagrams: 2 "; "too few to answer")]
+#[test_case(json!({"perod": 200}), |_| {}, "fleet.perod: unknown"; "a key misspelt")]
+#[test_case(json!({}), |config| config["settings"]["allowed"]["peers"] = json!(false), "fleet: needs settings.allowed.peers"; "routers that may not talk")]
+#[test_case(json!({}), |config| config["settings"]["position"] = json!(3), "settings.position: 3 "; "not among the peers")]
+#[test_case(json!({}), |config| config["peers"][2] = json!("127.0.0.1:7946"), "peers[2]: "; "one address twice")]
+fn a_fault_in_membership_is_told_with_its_key(fleet: Value, change: fn(&mut Value), message: &str) {
+    let error = Start::parse(&with_fleet(fleet, change), First::Environment, |_| None).unwrap_err();
+    assert!(error.starts_with(message), "{error}");
+}
--- a/crates/fernknot-fleet/src/fleet.rs
+++ b/crates/fernknot-fleet/src/fleet.rs
@@ -173,6 +173,9 @@
         let own_word = Standing { incarnation: message.incarnation, verdict: Verdict::Alive };
         if let Some(member) = self.members.get_mut(&from) {
             member.heard = Some(now);
+            if member.started != message.started {
+                member.came = Some(now);
+            }
             (member.name, member.started) = (message.name, message.started);
             member.said = message.incarnation;
         }
@@ -298,7 +301,12 @@
             }
             return;
         }
-        self.rumours.add(of);
+        // Guards the news against a fleet that starts together, of which each member would be passed on by all.
+        if before.incarnation.0 == 0 && member.standing.verdict == Verdict::Alive {
+            self.rumours.add_low(of, routers);
+        } else {
+            self.rumours.add(of);
+        }
         let doubted = member.is_doubted();
         if doubted {
             member.doubters = vec![cause.by; if hearsay { DOUBTERS } else { 1 }];
@@ -519,7 +527,9 @@
         if self.facts.variant == Variant::Plain {
             return member.doubted_at + doubt;
         }
-        member.doubted_at + self.patience(doubt).times(f64::from(1u32 << member.refuted.min(3)))
+        // Own lateness lengthens what this router alone, or nearly so, believes.
+        let own = if member.doubters.len() < DOUBTERS { self.patience(doubt) } else { doubt };
+        member.doubted_at + own.times(f64::from(1u32 << member.refuted.min(3)))
     }
 
     /// Whether this router's silence from others says something of them.
@@ -708,6 +718,15 @@
             let rumour = if *id == self.own { Some(own) } else { self.members.get(id).map(Self::rumour_of) };
             rumours.extend(rumour);
         }
+        // One that has just started knows nobody, and is told of some at each occasion.
+        let new = |member: &Member| member.came.is_some_and(|at| now - at < self.facts.young());
+        if self.facts.variant == Variant::Fleet && self.members.get(&to).is_some_and(new) {
+            for _ in rumours.len()..RUMOURS.min(self.order.len()) {
+                let any = self.order[self.chance.random_range(0..self.order.len())];
+                let lives = self.members.get(&any).filter(|member| member.standing.lives() && any != to);
+                rumours.extend(lives.map(Self::rumour_of));
+            }
+        }
         let mut message = Message {
             version: VERSION,
             name: self.name,
--- a/crates/fernknot-fleet/src/member.rs
+++ b/crates/fernknot-fleet/src/member.rs
@@ -106,6 +106,8 @@
     /// Doubts refuted lately, each of which doubles the time of the next. Guards against verdicts that come and
     /// go where a refutation has a long way.
     pub(crate) refuted: u32,
+    /// When its process was first heard.
+    pub(crate) came: Option<Nanos>,
     /// When a probe of it last failed.
     pub(crate) missed: Option<Nanos>,
     pub changes: u32,
@@ -126,6 +128,7 @@
             doubters: Vec::new(),
             doubted_at: now,
             refuted: 0,
+            came: None,
             missed: None,
             changes: 0,
         }
--- a/crates/fernknot-fleet/src/rumours.rs
+++ b/crates/fernknot-fleet/src/rumours.rs
@@ -4,6 +4,13 @@
 use crate::member::RouterId;
 use std::collections::BTreeMap;
 
+/// How often news of a start is passed on.
+const FEW: u32 = 3;
+
+fn limit(routers: usize) -> u32 {
+    (PASSED_ON * (routers as f64 + 1.0).log2()).ceil() as u32
+}
+
 /// Routers whose standing is to be passed on, each with the times that it was; the latest news of each stands in
 /// the view. Never more than there are routers.
 #[derive(Default)]
@@ -16,6 +23,11 @@
         self.sent.insert(of, 0);
     }
 
+    /// What all will hear of in other ways too is passed on a few times, after everything else.
+    pub fn add_low(&mut self, of: RouterId, routers: usize) {
+        self.sent.insert(of, limit(routers).saturating_sub(FEW));
+    }
+
     pub fn remove(&mut self, of: RouterId) {
         self.sent.remove(&of);
     }
@@ -36,7 +48,7 @@
     }
 
     pub fn passed_on(&mut self, of: RouterId, routers: usize) {
-        let limit = (PASSED_ON * (routers as f64 + 1.0).log2()).ceil() as u32;
+        let limit = limit(routers);
         if let Some(sent) = self.sent.get_mut(&of) {
             *sent += 1;
             if *sent >= limit {
--- a/crates/fernknot-router/tests/end_to_end.rs
+++ b/crates/fernknot-router/tests/end_to_end.rs
@@ -321,6 +321,61 @@
     assert_eq!(nodes[0].calls().len(), 1);
 }
 
+/// A router and a socket in the place of the only other one, with and without membership.
+fn with_peer(fleet: Option<serde_json::Value>) -> (Router, UdpSocket, std::net::SocketAddr, Discovery) {
+    let discovery = Discovery::start("127.0.0.1:0").unwrap();
+    let node = DataNode::start(Behaviour::Answer).unwrap();
+    discovery.put("s-0", node.address, 0, "up");
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let own = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut config = config();
+    config["settings"]["balancers"] = json!(2);
+    config["settings"]["allowed"]["peers"] = json!(true);
+    config["peer_listen"] = json!(own.to_string());
+    config["peers"] = json!([own.to_string(), peer.local_addr().unwrap().to_string()]);
+    config["peers_all"] = json!(peer.local_addr().unwrap().to_string());
+    fleet.into_iter().for_each(|fleet| config["fleet"] = fleet);
+    (Router::start(&config, discovery.address), peer, own, discovery)
+}
+
+/// Guards the bench's wire: without the key no byte differs from what it was before there was membership.
+#[test]
+fn without_the_key_nothing_of_membership_is_sent_or_answered() {
+    let (router, peer, own, _discovery) = with_peer(None);
+    assert!(router.ask("page", &[0], "2").starts_with("HTTP/1.1 200"));
+    // The first datagrams are the news of that multiget; words of a fleet would have come long before.
+    let mut message = [0; 300];
+    for _ in 0..2 {
+        let length = peer.recv(&mut message).unwrap();
+        assert!(length >= 3 && message[0] <= 1, "{:?}", &message[..length]);
+    }
+    peer.send_to(&[0xff, 1, 0, 0], own).unwrap();
+    until("dropped as before", || router.counter("datagrams_dropped") == 1);
+    let strange = router.try_get("/nowhere").unwrap();
+    let status = |answer: &str| answer.lines().next().unwrap_or_default().to_string();
+    assert_eq!(status(&router.try_get("/fleet").unwrap()), status(&strange));
+    assert!(!router.try_get("/counters").unwrap().contains("fleet"));
+}
+
+#[test]
+fn with_the_key_the_other_is_probed_and_a_new_list_is_taken_at_sighup() {
+    let (router, peer, _own, _discovery) = with_peer(Some(json!({"period": 50, "datagrams": 100})));
+    let mut message = [0; 300];
+    while message[0] != 0xff {
+        peer.recv(&mut message).unwrap();
+    }
+    let view = router.try_get("/fleet").unwrap();
+    let address = peer.local_addr().unwrap();
+    assert!(view.contains(&format!("{address} unheard ")) && view.contains(" majority=false "), "{view}");
+    let mut config: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(&router.config).unwrap()).unwrap();
+    let third = free_address();
+    config["peers"].as_array_mut().unwrap().push(json!(third.to_string()));
+    std::fs::write(&router.config, config.to_string()).unwrap();
+    router.signal(Signal::HUP);
+    until("the third router", || router.try_get("/fleet").unwrap().contains(&format!("{third} unheard ")));
+}
+
 const SOUND: &str = r#"{"buckets":[{"bucket":0,"part":1.0}],"body":"x"}"#;
 const HEAD: &str = "Req-Id: a\r\nReq-Deadline: 1\r\nIdempotency-Key: k\r\n";
 
--- a/crates/fernknot-trial/src/scenes.rs
+++ b/crates/fernknot-trial/src/scenes.rs
@@ -113,7 +113,9 @@
                 [
                     Step::Kill { routers: vec![one] },
                     Step::Start { routers: vec![one] },
+                    // The one that starts has to hear of all; that the others never noticed is as good.
                     sees(all.clone(), all.clone(), &["alive"]),
+                    Step::Settle { periods: 5 },
                 ]
             };
             [each(), each(), each()].concat()
@@ -124,7 +126,9 @@
             mend(),
         ],
         "planted-stop" => vec![
+            // With work in hand for certain, that ends without an answer.
             Step::Silence { routers: vec![one] },
+            Step::Settle { periods: 5 },
             Step::Kill { routers: vec![one] },
             Step::Start { routers: vec![one] },
             Step::Speak { routers: vec![one] },
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -115,6 +115,29 @@
     assert!((least..=most).contains(&cold), "{cold} parts");
 }
 
+/// Guards rule 4 when routers come back that were held for lost: what few were answered is more than the part of
+/// each of many. Fewer routers change nothing by themselves.
+#[test]
+fn cold_node_gets_less_from_each_at_once_when_more_routers_share() {
+    let cold = |routers: usize| {
+        let mut host = Host::new(facts(), 2);
+        host.warm_up(REPLAYABLE, 80, 50.0);
+        host.router.shared_by(ms(host.now), routers);
+        host.router.list(ListKind::Changes, &[entry(2, Health::Running, host.now)]);
+        let ids: Vec<MultigetId> = (0..20)
+            .map(|_| {
+                let id = host.take(REPLAYABLE, &[1.0]);
+                host.pass(50.0);
+                host.end(id, 0, 0, Outcome::Answered, 50.0);
+                id
+            })
+            .collect();
+        ids.iter().filter(|id| host.sends(**id, 0).contains(&NodeId(2))).count()
+    };
+    let [same, fewer, more] = [2, 1, 6].map(cold);
+    assert!(same == fewer && more * 2 <= same, "{same} {fewer} {more}");
+}
+
 #[test]
 fn cold_node_is_measured_by_the_busiest_warm_one() {
     let mut given = facts();
