Count a restarted router as up in a trial once it answers

At fault: Step::Start in rig.rs noted the router as up at the fork. Change: noted once GET /up says 200.

--- a/crates/fernknot-trial/src/rig.rs
+++ b/crates/fernknot-trial/src/rig.rs
@@ -239,6 +239,18 @@
             Step::Start { routers } => {
                 for index in routers {
                     self.spawn(*index).map_err(|error| format!("router {index}: {error}"))?;
+                }
+                // Clients that come before it listens are refused, which is no fault of its own.
+                let start = Instant::now();
+                for index in routers {
+                    let up =
+                        || get(self.routers[*index].listen, "/up").is_some_and(|text| text.contains(" 200 "));
+                    while !up() {
+                        if start.elapsed() > PATIENCE {
+                            return Err(format!("router {index} never came up"));
+                        }
+                        thread::sleep(Duration::from_millis(2));
+                    }
                     self.occur(Occurred::Up { router: *index });
                 }
             }
