--- a/src/decide.rs
+++ b/src/decide.rs
@@ -425,8 +425,8 @@
         let grown = self.sharers / routers.max(1) as f64;
         self.sharers = routers.max(1) as f64;
         self.shares.iter_mut().for_each(|share| share.scale(now, grown));
-        // What fewer routers were answered is more than the part of each of many. Guards cold replicas against
-        // routers that come back; where some are lost, what the others are answered grows by itself.
+        // What fewer routers were answered is more than the part of each of many. Guards cold replicas
+        // against routers that come back; where some are lost, what others are answered grows by itself.
         self.bears.scale(grown.min(1.0));
     }
 
