Forget refuted doubts after a while, and let one that was vouched for last twice as long

Seen in the review: refuted in member.rs was said to count doubts refuted lately, but grew for good, and each start of a doubted router counted too, so that after three of either a crash took eight times as long to see. Seen at 40 real routers: 2 of 39 held the one that only speaks for lost, as few hear it and the next round of a doubt came late. Change: both in learn and ripe_at; a field that nothing read and a call that nothing made are gone.

--- a/crates/fernknot-fleet/src/fleet.rs
+++ b/crates/fernknot-fleet/src/fleet.rs
@@ -19,6 +19,8 @@
 const NEWS_SPARE: f64 = 2.0;
 /// Periods within which a second failed probe follows the first.
 const SECOND_TRY: f64 = 6.0;
+/// How often the time of a doubt is doubled at the most.
+const MOST_DOUBLINGS: u32 = 3;
 
 /// What the host is to do.
 #[derive(Clone, Debug, PartialEq)]
@@ -176,7 +178,7 @@
             if member.started != message.started {
                 member.came = Some(now);
             }
-            (member.name, member.started) = (message.name, message.started);
+            member.started = message.started;
             member.said = message.incarnation;
         }
         if message.name == self.name && !self.yielded {
@@ -316,9 +318,11 @@
             self.doubted.remove(&of);
             member.doubters.clear();
         }
+        // A start is no refutation: what was doubted before it may well have been dead.
         let was = matches!(before.verdict, Verdict::Doubted { .. } | Verdict::Lost);
-        if was && member.standing.verdict == Verdict::Alive && before.incarnation.0 > 0 {
-            member.refuted += 1;
+        let newly = member.came.is_some_and(|at| now - at < self.facts.period);
+        if was && member.standing.verdict == Verdict::Alive && before.incarnation.0 > 0 && !newly {
+            member.refuted = (member.refuted_lately(now, self.facts.young()) + 1, now);
         }
         let (from, to) = (state(before), state(member.standing));
         if from == to {
@@ -529,7 +533,10 @@
         }
         // Own lateness lengthens what this router alone, or nearly so, believes.
         let own = if member.doubters.len() < DOUBTERS { self.patience(doubt) } else { doubt };
-        member.doubted_at + own.times(f64::from(1u32 << member.refuted.min(3)))
+        // Somebody hears one that was vouched for, though seldom in a large fleet: the next round has to reach all.
+        let vouched = member.standing.verdict > Verdict::Doubted { round: 0 };
+        let doublings = member.refuted_lately(member.doubted_at, self.facts.young()) + u32::from(vouched);
+        member.doubted_at + own.times(f64::from(1u32 << doublings.min(MOST_DOUBLINGS)))
     }
 
     /// Whether this router's silence from others says something of them.
--- a/crates/fernknot-fleet/src/member.rs
+++ b/crates/fernknot-fleet/src/member.rs
@@ -94,8 +94,7 @@
     pub cause: Cause,
     /// When it was last heard itself.
     pub heard: Option<Nanos>,
-    /// Of its process, as it says itself: a print of its name, and its start.
-    pub name: u32,
+    /// The start of its process, as it says itself.
     pub started: u64,
     pub(crate) said: Incarnation,
     pub link: LinkState,
@@ -103,9 +102,9 @@
     /// Who doubts it in this round, and since when that is known here.
     pub(crate) doubters: Vec<RouterId>,
     pub(crate) doubted_at: Nanos,
-    /// Doubts refuted lately, each of which doubles the time of the next. Guards against verdicts that come and
-    /// go where a refutation has a long way.
-    pub(crate) refuted: u32,
+    /// Doubts refuted one after the other, each of which doubles the time of the next, and when the last was.
+    /// Guards against verdicts that come and go where a refutation has a long way.
+    pub(crate) refuted: (u32, Nanos),
     /// When its process was first heard.
     pub(crate) came: Option<Nanos>,
     /// When a probe of it last failed.
@@ -120,14 +119,13 @@
             standing: Standing::UNHEARD,
             cause: Cause { by: id, at: now, path: Path::Listed },
             heard: None,
-            name: 0,
             started: 0,
             said: Incarnation(0),
             link: LinkState::Unknown,
             link_row: (LinkState::Unknown, 0),
             doubters: Vec::new(),
             doubted_at: now,
-            refuted: 0,
+            refuted: (0, now),
             came: None,
             missed: None,
             changes: 0,
@@ -139,6 +137,13 @@
         self.standing == Standing { incarnation: self.said, verdict: Verdict::Alive }
     }
 
+    /// Doubts refuted, unless the last was so long ago. Guards a router that ran well since against a doubt that
+    /// takes many times as long for what once was.
+    pub(crate) fn refuted_lately(&self, now: Nanos, kept: Nanos) -> u32 {
+        let (count, at) = self.refuted;
+        if now - at < kept { count } else { 0 }
+    }
+
     pub fn is_doubted(&self) -> bool {
         matches!(self.standing.verdict, Verdict::Doubted { .. })
     }
--- a/crates/fernknot-fleet/tests/view.rs
+++ b/crates/fernknot-fleet/tests/view.rs
@@ -204,6 +204,61 @@
     assert!(fleet.is_young(woke) && fleet.lateness() > 0);
 }
 
+/// Guards a router that ran well for long against doubts that last many times as long for what once was, and one
+/// that starts again and again against the same.
+#[test_case(false, 1; "a refutation long ago")]
+#[test_case(true, 0; "starts")]
+fn what_once_was_does_not_lengthen_a_doubt(starts: bool, rests: u64) {
+    let lost_after = |before: u64| {
+        let mut fleet = fleet(0, 5);
+        let mut now = Nanos(1);
+        let mut incarnation = 9;
+        let says = |fleet: &mut Fleet, now, incarnation, started| {
+            let (name, body, rumours) = (101, Body::News, Vec::new());
+            let message = Message {
+                version: VERSION,
+                name,
+                started,
+                incarnation: Incarnation(incarnation),
+                body,
+                rumours,
+            };
+            fleet.heard(now, Some(RouterId(1)), &{ message }.write(256).0).unwrap();
+        };
+        says(&mut fleet, now, incarnation, 1_000);
+        let others = |fleet: &mut Fleet, now, rumours: Vec<Rumour>| {
+            for by in 2..5 {
+                fleet.heard(now, Some(RouterId(by)), &message(by, 9, Body::News, rumours.clone())).unwrap();
+            }
+        };
+        // Its start is not news any more.
+        now = pass(&mut fleet, now, 2).0;
+        let doubt = |incarnation| vec![rumour(1, incarnation, Verdict::Doubted { round: 0 }, 2)];
+        for _ in 0..before {
+            others(&mut fleet, now, doubt(incarnation));
+            incarnation += 1;
+            now = now + Nanos(1000);
+            says(&mut fleet, now, incarnation, if starts { 1_000 + incarnation } else { 1_000 });
+        }
+        for _ in 0..20 * rests {
+            now = pass(&mut fleet, now, 1).0;
+            says(&mut fleet, now, incarnation, 1_000);
+            others(&mut fleet, now, Vec::new());
+        }
+        others(&mut fleet, now, doubt(incarnation));
+        for period in 0..500 {
+            now = pass(&mut fleet, now, 1).0;
+            others(&mut fleet, now, Vec::new());
+            if fleet.member(RouterId(1)).unwrap().standing.verdict == Verdict::Lost {
+                return period;
+            }
+        }
+        panic!("never held for lost");
+    };
+    let [never, often] = [0, 3].map(lost_after);
+    assert!(often <= never + 1, "{never} periods, then {often}");
+}
+
 #[test]
 fn two_processes_of_one_name_both_see_it_and_the_later_one_yields() {
     let claim = |started| {
--- a/crates/fernknot-trial/src/schedule.rs
+++ b/crates/fernknot-trial/src/schedule.rs
@@ -104,11 +104,6 @@
         }
         Ok(schedule)
     }
-
-    /// All routers but these.
-    pub fn others(&self, but: &[usize]) -> Vec<usize> {
-        (0..self.routers).filter(|router| !but.contains(router)).collect()
-    }
 }
 
 impl Step {
