--- a/crates/fernknot-config/src/start.rs
+++ b/crates/fernknot-config/src/start.rs
@@ -172,7 +172,7 @@
 }
 
 /// FNV-1a: a short name that is the same at every router.
-fn print(text: &str) -> u32 {
+pub fn print(text: &str) -> u32 {
     text.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
 }
 
--- a/crates/fernknot-lab/src/fleet.rs
+++ b/crates/fernknot-lab/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Membership among query routers in simulated time: the code that the router runs, on a network that loses,
 //! cuts and stops.
 
+use crate::lanes;
 use crate::report::rounded;
 use fernknot::interface::Nanos;
 use fernknot_fleet::{Fleet, FleetFacts, RouterId, Step, Variant, Verdict};
@@ -556,22 +557,5 @@
             plays.extend(seeds.clone().map(|seed| (variant, scenario, seed)));
         }
     }
-    let workers =
-        std::thread::available_parallelism().map_or(1, usize::from).min(if routers > 300 { 2 } else { 6 });
-    let next = std::sync::atomic::AtomicUsize::new(0);
-    let mut rows: Vec<(usize, Row)> = std::thread::scope(|scope| {
-        let work = || {
-            let take = || plays.get(next.fetch_add(1, std::sync::atomic::Ordering::Relaxed)).copied();
-            let mut rows = Vec::new();
-            while let Some((variant, scenario, seed)) = take() {
-                let index = plays.iter().position(|play| *play == (variant, scenario, seed)).unwrap_or(0);
-                rows.push((index, play(variant, scenario, routers, seed)));
-            }
-            rows
-        };
-        let workers: Vec<_> = (0..workers).map(|_| scope.spawn(work)).collect();
-        workers.into_iter().flat_map(|worker| worker.join().unwrap_or_default()).collect()
-    });
-    rows.sort_by_key(|(index, _)| *index);
-    rows.into_iter().map(|(_, row)| row).collect()
+    lanes::over(&plays, |(variant, scenario, seed)| play(variant, scenario, routers, *seed))
 }
--- a/crates/fernknot-lab/src/lib.rs
+++ b/crates/fernknot-lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! process, from one seed, the same byte for byte each time.
 
 pub mod fleet;
+pub mod lanes;
 pub mod report;
 pub mod stores;
 pub mod two_phase;
--- a/crates/fernknot-lab/src/two_phase.rs
+++ b/crates/fernknot-lab/src/two_phase.rs
@@ -1,5 +1,6 @@
 //! Queries in two phases against stores that stall and slow down, at loads under and past capacity.
 
+use crate::lanes;
 use crate::report::rounded;
 use crate::stores::Script;
 use crate::world::{Fate, Plan, START, World};
@@ -14,7 +15,6 @@
 use rand_distr::{Distribution, Exp};
 use serde::Serialize;
 use std::ops::Range;
-use std::thread;
 
 const GOAL_MS: f64 = 300.0;
 const HARD_LIMIT_MS: f64 = 1000.0;
@@ -259,21 +259,7 @@
         .flat_map(|seed| LOADS.map(|load| VARIANTS.map(|variant| (seed, load, variant))))
         .flatten()
         .collect();
-    let lanes = thread::available_parallelism().map_or(1, usize::from);
-    let mut results: Vec<(usize, Result)> = thread::scope(|scope| {
-        let cases = &cases;
-        let lane = |lane: usize| {
-            let own = cases.iter().enumerate().filter(move |(index, _)| index % lanes == lane);
-            let play = |(index, (seed, load, variant)): (usize, &(u64, f64, &'static str))| {
-                (index, play(variant, *seed, *load, seconds))
-            };
-            scope.spawn(move || own.map(play).collect::<Vec<_>>())
-        };
-        let running: Vec<_> = (0..lanes).map(lane).collect();
-        running.into_iter().flat_map(|lane| lane.join().expect("a run that panics ends the lab")).collect()
-    });
-    results.sort_by_key(|(index, _)| *index);
-    results.into_iter().map(|(_, result)| result).collect()
+    lanes::over(&cases, |(seed, load, variant)| play(variant, *seed, *load, seconds))
 }
 
 /// The means over the seeds of each variant at each load, and the least and the most in time.
--- a/crates/fernknot-protocol/src/news.rs
+++ b/crates/fernknot-protocol/src/news.rs
@@ -19,10 +19,7 @@
 impl Tags {
     /// Names a node; an id that is used again loses its old name. Ids are given in turn.
     pub fn add(&mut self, name: &str, node: NodeId) {
-        // FNV-1a, folded to two bytes.
-        let hash = name
-            .bytes()
-            .fold(0x811c_9dc5u32, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193));
+        let hash = fernknot_config::print(name);
         let tag = (hash ^ (hash >> 16)) as u16;
         match self.of.get_mut(node.0 as usize) {
             Some(held) => {
--- a/crates/fernknot-router/tests/end_to_end.rs
+++ b/crates/fernknot-router/tests/end_to_end.rs
@@ -7,7 +7,7 @@
 use rustix::process::Signal;
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream, UdpSocket};
+use std::net::{Shutdown, SocketAddr, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
@@ -297,16 +297,7 @@
 
 #[test]
 fn routers_tell_each_other_and_what_strangers_send_is_dropped() {
-    let (_first, nodes, discovery) = deployment(&[Behaviour::Answer]);
-    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
-    let own = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let mut config = config();
-    config["settings"]["balancers"] = json!(2);
-    config["settings"]["allowed"]["peers"] = json!(true);
-    config["peer_listen"] = json!(own.to_string());
-    config["peers"] = json!([own.to_string(), peer.local_addr().unwrap().to_string()]);
-    config["peers_all"] = json!(peer.local_addr().unwrap().to_string());
-    let router = Router::start(&config, discovery.address);
+    let (router, peer, own, node, _discovery) = with_peer(None);
     assert!(router.ask("page", &[0], "2").starts_with("HTTP/1.1 200"));
     let mut message = [0; 300];
     let length = peer.recv(&mut message).unwrap();
@@ -318,11 +309,11 @@
     until("all datagrams", || {
         (router.counter("datagrams_taken"), router.counter("datagrams_dropped")) == (1, 3)
     });
-    assert_eq!(nodes[0].calls().len(), 1);
+    assert_eq!(node.calls().len(), 1);
 }
 
 /// A router and a socket in the place of the only other one, with and without membership.
-fn with_peer(fleet: Option<serde_json::Value>) -> (Router, UdpSocket, std::net::SocketAddr, Discovery) {
+fn with_peer(fleet: Option<serde_json::Value>) -> (Router, UdpSocket, SocketAddr, DataNode, Discovery) {
     let discovery = Discovery::start("127.0.0.1:0").unwrap();
     let node = DataNode::start(Behaviour::Answer).unwrap();
     discovery.put("s-0", node.address, 0, "up");
@@ -335,13 +326,13 @@
     config["peers"] = json!([own.to_string(), peer.local_addr().unwrap().to_string()]);
     config["peers_all"] = json!(peer.local_addr().unwrap().to_string());
     fleet.into_iter().for_each(|fleet| config["fleet"] = fleet);
-    (Router::start(&config, discovery.address), peer, own, discovery)
+    (Router::start(&config, discovery.address), peer, own, node, discovery)
 }
 
 /// Guards the bench's wire: without the key no byte differs from what it was before there was membership.
 #[test]
 fn without_the_key_nothing_of_membership_is_sent_or_answered() {
-    let (router, peer, own, _discovery) = with_peer(None);
+    let (router, peer, own, _node, _discovery) = with_peer(None);
     assert!(router.ask("page", &[0], "2").starts_with("HTTP/1.1 200"));
     // The first datagrams are the news of that multiget; words of a fleet would have come long before.
     let mut message = [0; 300];
@@ -359,7 +350,7 @@
 
 #[test]
 fn with_the_key_the_other_is_probed_and_a_new_list_is_taken_at_sighup() {
-    let (router, peer, _own, _discovery) = with_peer(Some(json!({"period": 50, "datagrams": 100})));
+    let (router, peer, _own, _node, _discovery) = with_peer(Some(json!({"period": 50, "datagrams": 100})));
     let mut message = [0; 300];
     while message[0] != 0xff {
         peer.recv(&mut message).unwrap();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -95,13 +95,8 @@
     assert!(matches!(host.finals(id)[..], [Decision::Dismiss { .. }]));
 }
 
-// Warm nodes answer about 10 parts a second each to this router: 2 x 0.2 x 10 is what the rule
-// lets a node take in a second at its start, 2 x 0.28 x 10 a second later, 2 x 0.6 x 10 half-way.
-#[test_case(0.0, 0, 5; "just started")]
-#[test_case(5000.0, 4, 12; "half-way")]
-fn cold_node_gets_this_routers_part_of_the_budget(age: f64, least: usize, most: usize) {
-    let mut host = Host::new(facts(), 2);
-    host.warm_up(REPLAYABLE, 80, 50.0);
+/// How many of 20 parts go to a node that started so long ago, in milliseconds.
+fn parts_to_a_cold_node(host: &mut Host, age: f64) -> usize {
     host.router.list(ListKind::Changes, &[entry(2, Health::Running, host.now - age)]);
     let ids: Vec<MultigetId> = (0..20)
         .map(|_| {
@@ -111,7 +106,17 @@
             id
         })
         .collect();
-    let cold = ids.iter().filter(|id| host.sends(**id, 0).contains(&NodeId(2))).count();
+    ids.iter().filter(|id| host.sends(**id, 0).contains(&NodeId(2))).count()
+}
+
+// Warm nodes answer about 10 parts a second each to this router: 2 x 0.2 x 10 is what the rule
+// lets a node take in a second at its start, 2 x 0.28 x 10 a second later, 2 x 0.6 x 10 half-way.
+#[test_case(0.0, 0, 5; "just started")]
+#[test_case(5000.0, 4, 12; "half-way")]
+fn cold_node_gets_this_routers_part_of_the_budget(age: f64, least: usize, most: usize) {
+    let mut host = Host::new(facts(), 2);
+    host.warm_up(REPLAYABLE, 80, 50.0);
+    let cold = parts_to_a_cold_node(&mut host, age);
     assert!((least..=most).contains(&cold), "{cold} parts");
 }
 
@@ -123,16 +128,7 @@
         let mut host = Host::new(facts(), 2);
         host.warm_up(REPLAYABLE, 80, 50.0);
         host.router.shared_by(ms(host.now), routers);
-        host.router.list(ListKind::Changes, &[entry(2, Health::Running, host.now)]);
-        let ids: Vec<MultigetId> = (0..20)
-            .map(|_| {
-                let id = host.take(REPLAYABLE, &[1.0]);
-                host.pass(50.0);
-                host.end(id, 0, 0, Outcome::Answered, 50.0);
-                id
-            })
-            .collect();
-        ids.iter().filter(|id| host.sends(**id, 0).contains(&NodeId(2))).count()
+        parts_to_a_cold_node(&mut host, 0.0)
     };
     let [same, fewer, more] = [2, 1, 6].map(cold);
     assert!(same == fewer && more * 2 <= same, "{same} {fewer} {more}");
