Pace the fleet's datagrams by the module's Allowance

Review of the landing: probe.rs had a second bucket of tokens beside Allowance in state.rs. Change: Pace stands on Allowance, which tells what is left and when it reaches a figure.

--- a/crates/fernknot-fleet/src/probe.rs
+++ b/crates/fernknot-fleet/src/probe.rs
@@ -2,6 +2,7 @@
 
 use crate::member::RouterId;
 use fernknot::interface::Nanos;
+use fernknot::state::Allowance;
 use std::collections::VecDeque;
 
 /// So many probes for others are remembered.
@@ -39,12 +40,9 @@
 }
 
 /// How many datagrams may go: a burst and a rate that stay together within the stated number in any second.
-#[derive(Debug)]
 pub(crate) struct Pace {
-    per_s: f64,
+    datagrams: Allowance,
     burst: f64,
-    left: f64,
-    at: Nanos,
 }
 
 /// The part of the stated number that may go at once.
@@ -53,29 +51,25 @@
 impl Pace {
     pub fn new(stated: f64, now: Nanos) -> Pace {
         let burst = (stated * BURST).max(1.0);
-        Pace { per_s: (stated - burst).max(0.5), burst, left: burst, at: now }
+        Pace { datagrams: Allowance::new((stated - burst).max(0.5), burst, now), burst }
     }
 
-    fn fill(&mut self, now: Nanos) {
-        self.left = (self.left + (now - self.at).0 as f64 / 1e9 * self.per_s).min(self.burst);
-        self.at = self.at.max(now);
+    /// What there has to be for one that leaves so many.
+    fn wanted(&self, spare: f64) -> f64 {
+        1.0 + spare.min(self.burst - 1.0)
     }
 
     /// Whether one may go now and so many would be left.
     pub fn may(&mut self, now: Nanos, spare: f64) -> bool {
-        self.fill(now);
-        self.left >= 1.0 + spare.min(self.burst - 1.0)
+        self.datagrams.left(now) >= self.wanted(spare)
     }
 
     pub fn take(&mut self, now: Nanos) {
-        self.fill(now);
-        self.left -= 1.0;
+        self.datagrams.draw(now);
     }
 
     /// When the next may go.
     pub fn due(&self, spare: f64) -> Nanos {
-        let missing = (1.0 + spare.min(self.burst - 1.0) - self.left).max(0.0);
-        // A little more than needed, so that rounding does not wake the host for nothing.
-        self.at + Nanos((missing / self.per_s * 1e9) as u64 + 1000)
+        self.datagrams.reaches(self.wanted(spare))
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -158,6 +158,18 @@
         self.since = now;
     }
 
+    /// What there is now.
+    pub fn left(&mut self, now: Nanos) -> f64 {
+        self.fill(now);
+        self.left
+    }
+
+    /// When there will be so much, up to its limit; a little later, so that rounding leaves nothing out.
+    pub fn reaches(&self, wanted: f64) -> Nanos {
+        let missing = (wanted - self.left).max(0.0) / self.rate;
+        self.since + Nanos((missing * 1e9) as u64 + 1000)
+    }
+
     /// Draws one, if there is one.
     pub fn draw(&mut self, now: Nanos) -> bool {
         self.fill(now);
