--- /dev/null
+++ b/crates/fernknot-registry/src/lib.rs
@@ -0,0 +1,14 @@
+//! Nodes as their beats tell, without I/O or clock.
+//!
+//! A registrar holds one [`Registry`]: soft state that beats and other registrars fill, and that is empty after a
+//! restart. A gateway holds one [`Pool`]: what registrars, or the home of its zone, told it. Both join what they
+//! hear by the same rule ([`NodeFact::join`]), so that the order in which it comes doesn't matter. The ways weighed
+//! are in `docs/news.md`.
+
+mod fact;
+mod pool;
+mod registry;
+
+pub use fact::{LifeHash, NodeFact, NodeState, life_hash};
+pub use pool::{Pool, PoolBounds};
+pub use registry::{Noted, Registry, RegistryBounds};
