--- /dev/null
+++ b/crates/fernknot-conduit/src/lib.rs
@@ -0,0 +1,49 @@
+//! Words between the system's own processes: whole messages in `bitcode`, each behind its length.
+//!
+//! A connection carries one type each way. What cannot be read ends the connection: there is no telling
+//! where the next word begins.
+
+mod words;
+
+pub use words::{Inward, Outward, PeerWord, Question, Registrar, Share};
+
+use bitcode::{DecodeOwned, Encode};
+use fernknot_protocol::buffer::Buffer;
+use thiserror::Error;
+
+/// Bytes of the length in front of a word.
+const HEAD: usize = 4;
+
+/// What came is no word.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum BadWord {
+    #[error("a word of {length} bytes is over {most}")]
+    TooLong { length: usize, most: usize },
+    #[error("a word of {length} bytes cannot be read")]
+    Unreadable { length: usize },
+}
+
+/// Writes one word.
+pub fn push<W: Encode + ?Sized>(out: &mut Buffer, word: &W) {
+    let bytes = bitcode::encode(word);
+    out.push(&(bytes.len() as u32).to_le_bytes());
+    out.push(&bytes);
+}
+
+/// Reads the next word, if all of it has come; `most` bounds its bytes.
+///
+/// # Errors
+/// A word that is too long or cannot be read.
+pub fn pull<W: DecodeOwned>(input: &mut Buffer, most: usize) -> Result<Option<W>, BadWord> {
+    let Some(head) = input.data().first_chunk::<HEAD>() else { return Ok(None) };
+    let length = u32::from_le_bytes(*head) as usize;
+    if length > most {
+        return Err(BadWord::TooLong { length, most });
+    }
+    if input.len() < HEAD + length {
+        return Ok(None);
+    }
+    let word = bitcode::decode(&input.data()[HEAD..HEAD + length]);
+    input.consume(HEAD + length);
+    word.map(Some).map_err(|_| BadWord::Unreadable { length })
+}
--- /dev/null
+++ b/crates/fernknot-conduit/src/words.rs
@@ -0,0 +1,92 @@
+//! What the system's own processes say to each other. Who opens a connection says [`Inward`] words, and
+//! hears [`Outward`] ones.
+
+use bitcode::{Decode, Encode};
+use fernknot_duties::{Cut, Gateway};
+use fernknot_intake::Plan;
+use fernknot_registry::NodeFact;
+use std::net::SocketAddrV4;
+
+/// Which news a listener wants of a teller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Share {
+    /// All topics.
+    All,
+    /// The topics whose home in its zone the listener is by the cut under this fence.
+    Own { fence: u64 },
+    /// The topics whose home the teller is by the cut under this fence.
+    Yours { fence: u64 },
+}
+
+/// Said by who opens a connection to an inner port.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Inward {
+    /// A gateway wants news from here on. `order` is that of the plan that it holds, 0 for none.
+    Attach { who: Gateway, ready: bool, share: Share, order: u64 },
+    /// Said now and then over a stream of news: the listener lives.
+    Alive { ready: bool },
+    /// The listener is about to stop by order.
+    Leaving,
+    /// Between registrars.
+    Peer(PeerWord),
+    /// An operator's question: what is held here?
+    Ask(Question),
+}
+
+/// From one registrar to another, over a connection that the first one opened.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum PeerWord {
+    /// Who speaks: the inner address at which it listens, and its zone.
+    Hello { addr: SocketAddrV4, zone: String },
+    Views(fernknot_views::Word),
+    /// Changes of nodes that were first told to the speaker.
+    Nodes(Vec<NodeFact>),
+    /// Lives whose beats came to the speaker lately, by their hashes.
+    Heard(Vec<u64>),
+    /// The hearer does not know these lives; the speaker of `Heard` is to tell them.
+    Want(Vec<u64>),
+    /// Gateways that are attached to the speaker.
+    Gateways(Vec<Gateway>),
+    /// One of them has stopped by order.
+    GatewayLeft { life: u64 },
+    /// The cut of duties that the sequencer made.
+    Cut(Cut),
+    /// An operator's call, handed to the sequencer: the configuration and the epoch on which it builds.
+    Replace { call: u64, base: u64, body: Vec<u8> },
+    /// Its end: the status and words for the operator.
+    Replaced { call: u64, status: u16, why: String },
+    /// Other registrars that the speaker knows, at their inner addresses.
+    Know(Vec<SocketAddrV4>),
+}
+
+/// A registrar as gateways are told of it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Registrar {
+    pub addr: SocketAddrV4,
+    pub zone: String,
+}
+
+/// News, from a teller to a listener.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Outward {
+    /// A configuration that is in force, and its place in the one order.
+    Plan { order: u64, plan: Plan },
+    Nodes(Vec<NodeFact>),
+    /// All that the teller holds has been told.
+    Whole,
+    /// Said every so often: who tells, how far it is, and whether it hears a majority of its view.
+    Pulse { teller: u64, order: u64, lease: bool, registrars: Vec<Registrar>, gateways: u32 },
+    Cut(Cut),
+    /// The answer to an operator's question, for a person to read.
+    Answer(String),
+}
+
+/// What an operator may ask of a running process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Question {
+    Nodes,
+    Views,
+    Homes,
+    Duties,
+    Counters,
+}
--- a/crates/fernknot-protocol/src/http.rs
+++ b/crates/fernknot-protocol/src/http.rs
@@ -33,6 +33,11 @@
         named.map(|(_, value)| value.as_str())
     }
 
+    /// All lines of the head, in the order in which they came.
+    pub fn headers(&self) -> &[(String, String)] {
+        &self.headers
+    }
+
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or("")
     }
@@ -65,6 +70,10 @@
     }
 }
 
+fn text(header: &httparse::Header) -> (String, String) {
+    (header.name.to_string(), String::from_utf8_lossy(header.value).into_owned())
+}
+
 fn request_head(buffer: &mut Buffer, limits: &Limits) -> Result<Option<(Request, Framing)>, BadHttp> {
     let mut headers = vec![httparse::EMPTY_HEADER; limits.headers];
     let mut parsed = httparse::Request::new(&mut headers);
@@ -83,9 +92,6 @@
             .flat_map(|header| header.value.split(|byte| *byte == b','))
             .any(|value| value.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
     };
-    let text = |header: &httparse::Header| {
-        (header.name.to_string(), String::from_utf8_lossy(header.value).into_owned())
-    };
     let request = Request {
         method: parsed.method.unwrap_or_default().to_string(),
         target: parsed.path.unwrap_or_default().to_string(),
@@ -150,8 +156,23 @@
 #[derive(Debug, Default)]
 pub struct Response {
     pub status: u16,
+    headers: Vec<(String, String)>,
     pub body: Vec<u8>,
     pub keep: bool,
+    /// The head tells where the body ends, so that one cut short cannot pass for whole.
+    pub framed: bool,
+}
+
+impl Response {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let named = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        named.map(|(_, value)| value.as_str())
+    }
+
+    /// All lines of the head, in the order in which they came.
+    pub fn headers(&self) -> &[(String, String)] {
+        &self.headers
+    }
 }
 
 #[derive(Debug, Default)]
@@ -194,10 +215,11 @@
         header.name.eq_ignore_ascii_case("connection") && header.value.eq_ignore_ascii_case(b"close")
     });
     let empty = matches!(status, 100..200 | 204 | 304);
+    let headers = parsed.headers.iter().map(text).collect();
     let framing = framing(parsed.headers)?;
     let to_end = framing.is_none() && !empty;
     let keep = parsed.version == Some(1) && !closes && !to_end;
     buffer.consume(head);
     let framing = if empty { Framing::Length(0) } else { framing.unwrap_or(Framing::ToEnd) };
-    Ok(Some((Response { status, body: Vec::new(), keep }, framing)))
+    Ok(Some((Response { status, headers, body: Vec::new(), keep, framed: !to_end }, framing)))
 }
