Views: the types of the registrars' register, for its host to code against

A register of whole states in one order, kept in numbered views. This commit holds the types and the shape of the calls; the register does nothing yet.

--- /dev/null
+++ b/crates/fernknot-views/src/types.rs
@@ -0,0 +1,254 @@
+//! What passes between the register and its host, between members, and onto disk.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use bitcode::{Decode, Encode};
+use fernknot::interface::Nanos;
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident),*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+        pub struct $name(pub u64);
+    )*};
+}
+
+ids!(
+    /// One life of a disk: drawn at random by the host when a disk is empty, and kept on it.
+    MemberId,
+    /// The number of a view; 0 stands for the founders before there is any view.
+    ViewNo,
+    /// The place of a state in the one order; 0 is the empty state that view 1 begins with.
+    OrderNo,
+    /// Names one request to write to disk.
+    Ticket
+);
+
+/// A registrar: the life of its disk, where it listens for other registrars, and its zone.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct Member {
+    pub id: MemberId,
+    pub addr: SocketAddrV4,
+    pub zone: String,
+}
+
+/// Who stores every change. The first member is the sequencer.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Encode, Decode)]
+pub struct View {
+    pub no: ViewNo,
+    pub members: Vec<Member>,
+    /// Dropped members that still vote on the next view, kept only while the members are fewer
+    /// than two times the losses to be borne and one. They store no changes.
+    pub absent: Vec<Member>,
+}
+
+/// A view that is known to be chosen, and the order numbers at which the last views began.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Encode, Decode)]
+pub struct Base {
+    pub view: View,
+    /// Oldest first. What an earlier view stored above the floor of its next was never taken.
+    pub floors: Vec<(ViewNo, OrderNo)>,
+}
+
+/// Number of an attempt to change a view: higher rounds win, ids part equal ones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct Ballot {
+    pub round: u64,
+    pub id: MemberId,
+}
+
+/// A next view that this member has accepted under a ballot.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+pub struct Vouched {
+    pub ballot: Ballot,
+    pub next: Base,
+    /// Order number that the next view begins with.
+    pub no: OrderNo,
+    /// Absent where it is the state that the member holds as its newest.
+    pub state: Option<Arc<[u8]>>,
+}
+
+/// All that a member keeps on disk. The host writes it whole and hands it back at the next start.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+pub struct Saved {
+    pub me: MemberId,
+    /// The last view known to be chosen.
+    pub base: Base,
+    /// Nothing below this ballot counts any more for the change of `base`; not 0: stopped.
+    pub promise: Ballot,
+    pub vouched: Option<Vouched>,
+    /// The view that `no` and `state` belong to; below `base`, they only remember.
+    pub held: ViewNo,
+    pub no: OrderNo,
+    pub state: Arc<[u8]>,
+}
+
+/// What a member tells of itself, at every pulse and at once where something has changed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+pub struct Pulse {
+    pub who: Member,
+    /// What is safely on disk: the view, the view of the newest state, its order number.
+    pub view: ViewNo,
+    pub held: ViewNo,
+    pub no: OrderNo,
+    /// The newest order number known to be taken in `view`.
+    pub commit: OrderNo,
+    pub force: bool,
+    pub stopped: bool,
+    pub well: bool,
+    /// The sender's life and clock, and the receiver's as last heard by the sender.
+    pub life: u64,
+    pub at: u64,
+    pub echo: (u64, u64),
+    /// Those with whom the sender is in touch both ways.
+    pub hears: Vec<MemberId>,
+    /// Members of the view with whom it is certainly not.
+    pub deaf: Vec<MemberId>,
+}
+
+/// A message between registrars. May be lost, doubled or late.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+pub enum Word {
+    Pulse(Pulse),
+    /// A later view, to one who isn't in it or votes in an older one.
+    Told {
+        base: Base,
+    },
+    /// The newest state, to a member of the view that lacks it.
+    Whole {
+        base: Base,
+        no: OrderNo,
+        state: Arc<[u8]>,
+    },
+    /// The sequencer's next change.
+    Change {
+        view: ViewNo,
+        no: OrderNo,
+        state: Arc<[u8]>,
+    },
+    /// `who` has the change on disk.
+    Have {
+        who: MemberId,
+        view: ViewNo,
+        no: OrderNo,
+    },
+    /// All members have it on disk.
+    Commit {
+        view: ViewNo,
+        no: OrderNo,
+    },
+    /// Stop `base` under this ballot; `no` is the newest that the proposer holds.
+    Stop {
+        ballot: Ballot,
+        base: Base,
+        no: Option<OrderNo>,
+    },
+    /// Stopped. `holds` is the newest order number, `state` goes with it where the proposer lacks it.
+    Stopped {
+        who: Member,
+        ballot: Ballot,
+        base: ViewNo,
+        holds: Option<OrderNo>,
+        state: Option<Arc<[u8]>>,
+        vouched: Option<Vouched>,
+    },
+    /// A higher ballot has been promised.
+    Outdone {
+        base: ViewNo,
+        promise: Ballot,
+    },
+    /// The next view, and what it begins with; no state where the receiver holds it.
+    Install {
+        ballot: Ballot,
+        base: Base,
+        next: Base,
+        no: OrderNo,
+        state: Option<Arc<[u8]>>,
+    },
+    /// On disk with the view's number.
+    Installed {
+        who: Member,
+        ballot: Ballot,
+        base: ViewNo,
+    },
+    /// The next view is chosen; `force`: all its members have it on disk.
+    Chosen {
+        ballot: Ballot,
+        base: ViewNo,
+        force: bool,
+    },
+}
+
+/// What the register is told at its start.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ViewFacts {
+    pub me: Member,
+    /// Inner addresses of the registrars that found the first view.
+    pub founders: Vec<SocketAddrV4>,
+    /// Only true when the whole system starts for the first time.
+    pub bootstrap: bool,
+    /// How many disks may be lost at once.
+    pub losses: usize,
+    /// A member that was not heard for this long is dropped.
+    pub suspect_after: Nanos,
+    /// How often members tell of themselves; well below `suspect_after`.
+    pub pulse_every: Nanos,
+    /// How old word from a majority may be for a claim of freshness; three pulses at least.
+    pub lease: Nanos,
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Order {
+    Say {
+        to: SocketAddrV4,
+        word: Word,
+    },
+    /// Write and sync, then call `stored`. Only one is out at a time, except after a failure.
+    Store {
+        ticket: Ticket,
+        saved: Saved,
+    },
+    /// In force, in one order, on every member; also once after a start, when the view is in force.
+    Deliver {
+        view: ViewNo,
+        no: OrderNo,
+        state: Arc<[u8]>,
+    },
+    /// On disk with every member of its view: nothing within the losses to be borne can undo it.
+    Taken {
+        proposal: u64,
+        no: OrderNo,
+    },
+    /// Certainly not taken, now or later. A proposal that gets neither word is not known yet.
+    Refused {
+        proposal: u64,
+    },
+    /// This member is in the view, and the view is in force.
+    Entered {
+        view: View,
+    },
+    /// This member is in no view any more; it asks to be let in again by itself.
+    Left,
+    /// Call `next` again after this long at the latest.
+    Wake {
+        after: Nanos,
+    },
+}
+
+/// Breaks planted for the checkers, which must find each one.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Plant {
+    /// An empty disk at a member's address votes for it.
+    EmptyVotes,
+    /// Words leave before what they vouch for is on disk.
+    WordBeforeDisk,
+    /// The sequencer's own disk is enough.
+    OneDisk,
+    /// What others may have chosen is not taken over.
+    ForgetVouched,
+    /// A sequencer goes on after a restart as if it had sent nothing.
+    SequenceAgain,
+}
