--- a/crates/fernknot-registry/src/registry.rs
+++ b/crates/fernknot-registry/src/registry.rs
@@ -52,6 +52,8 @@
 #[derive(Clone, Debug)]
 struct Life {
     fact: NodeFact,
+    /// It said that it is leaving; kept apart, so that a loss in between doesn't undo it.
+    drains: bool,
     /// When a beat of it was last heard here, or said to be heard elsewhere.
     heard: Nanos,
     /// Its place among the changes.
@@ -318,7 +320,8 @@
         self.by_hash.insert(life_hash(&id), id.clone());
         let out_since = (!fact.is_up()).then_some(self.now);
         let warm_until = self.now + Nanos(fact.warm_left_ms.saturating_mul(1_000_000));
-        let life = Life { fact, heard: self.now, version: 0, warm_until, out_since, fresh: false };
+        let drains = fact.state == NodeState::Draining;
+        let life = Life { fact, drains, heard: self.now, version: 0, warm_until, out_since, fresh: false };
         self.lives.insert(id.clone(), life);
         self.renumber(&id);
     }
@@ -327,7 +330,13 @@
     fn join(&mut self, id: &str, fact: &NodeFact) -> bool {
         let Some(life) = self.lives.get_mut(id) else { return false };
         let (old_addr, old_seq) = (life.fact.addr, life.fact.seq);
+        let old_state = life.fact.state;
         let mut changed = life.fact.join(fact);
+        life.drains |= fact.state == NodeState::Draining;
+        if life.drains && life.fact.state == NodeState::Ready {
+            life.fact.state = NodeState::Draining;
+            changed |= old_state != NodeState::Draining;
+        }
         if fact.seq > old_seq {
             let warm_until = self.now + Nanos(fact.warm_left_ms.saturating_mul(1_000_000));
             let apart = (warm_until - life.warm_until).max(life.warm_until - warm_until);
--- /dev/null
+++ b/crates/fernknot-registry/tests/common/mod.rs
@@ -0,0 +1,30 @@
+//! Facts and times for the stories of this package.
+
+use fernknot::interface::Nanos;
+use fernknot_registry::{NodeFact, NodeState, Registry, RegistryBounds};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+pub const BEAT: Nanos = Nanos(1_000_000_000);
+
+/// A time in beats.
+pub fn at(beats: f64) -> Nanos {
+    BEAT.times(beats)
+}
+
+/// A life at the address `place`.
+pub fn fact(id: &str, place: u8, state: NodeState, seq: u64) -> NodeFact {
+    NodeFact {
+        id: id.to_string(),
+        service: "gallery".to_string(),
+        addr: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, place), 8080),
+        zone: "north".to_string(),
+        state,
+        capacity: 3,
+        warm_left_ms: 0,
+        seq,
+    }
+}
+
+pub fn registry() -> Registry {
+    Registry::new(BEAT, RegistryBounds { most_lives: 16, keep_gone: at(100.0) })
+}
