--- /dev/null
+++ b/crates/fernknot-duties/src/holder.rs
@@ -0,0 +1,272 @@
+//! A gateway's side of its duties.
+
+use crate::cut::{Cut, Fence, Gateway, LifeId};
+use fernknot::interface::Nanos;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// What a gateway may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct HolderBounds {
+    /// Keys watched at once.
+    pub most_keys: usize,
+    /// The old holder serves on for so long at most, until the new one says that it has the key.
+    pub hand_over: Nanos,
+    /// A gateway whose cut was not confirmed for so long takes no share of a budget: those who come meanwhile are not
+    /// in its count. Half of [`crate::KeeperBounds::doubt`].
+    pub unconfirmed: Nanos,
+}
+
+/// What became of a cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    Newer,
+    Same,
+    /// Under an older fence; refused.
+    Older,
+}
+
+/// How this gateway stands to a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing<'a> {
+    Mine,
+    /// Another has it by the newest cut; this one serves on until then.
+    Handing {
+        to: &'a Gateway,
+        until: Nanos,
+    },
+    Other(&'a Gateway),
+    /// No gateway of the zone lives, as far as is known.
+    Nobody,
+}
+
+/// What the host has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Take up a key; where `from` is known, it serves until told ([`Order::SayTaken`]).
+    Start { key: String, fence: Fence, from: Option<Gateway> },
+    /// Tell the earlier holder that this one has the key now.
+    SayTaken { to: Gateway, key: String, fence: Fence },
+    /// Put a key down.
+    Stop { key: String, fence: Fence },
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Held {
+    owner: Option<LifeId>,
+    /// The host was told to take it up and not yet to put it down.
+    started: bool,
+    /// Whose it was by the cut before; serves until told.
+    from: Option<Gateway>,
+    /// The host has taken it up: `from` is to be told.
+    say: bool,
+    /// Set while this gateway serves on for another.
+    handing: Option<Nanos>,
+}
+
+/// The duties of one gateway by the newest cut, for the keys it watches.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    me: LifeId,
+    zone: Option<String>,
+    bounds: HolderBounds,
+    cut: Cut,
+    keys: BTreeMap<String, Held>,
+    /// Keys for which something may have to be done.
+    due: BTreeSet<String>,
+    /// Keys that are there no more and have to be put down.
+    stops: VecDeque<String>,
+    /// Since when every confirmed cut has named this gateway.
+    counted_since: Option<Nanos>,
+    /// When a hand-over ends at the latest.
+    check_at: Option<Nanos>,
+    confirmed: Option<Nanos>,
+}
+
+impl Holder {
+    /// Holds nothing yet. With a zone, a key has a holder in each zone; without, one in all.
+    pub fn new(me: LifeId, zone: Option<String>, bounds: HolderBounds) -> Holder {
+        Holder {
+            me,
+            zone,
+            bounds,
+            cut: Cut::default(),
+            keys: BTreeMap::new(),
+            due: BTreeSet::new(),
+            stops: VecDeque::new(),
+            counted_since: None,
+            check_at: None,
+            confirmed: None,
+        }
+    }
+
+    /// The life whose duties these are.
+    pub fn me(&self) -> LifeId {
+        self.me
+    }
+
+    /// The newest cut taken.
+    pub fn cut(&self) -> &Cut {
+        &self.cut
+    }
+
+    /// A cut came, from a registrar or by way of a home.
+    pub fn take(&mut self, now: Nanos, cut: Cut) -> Taken {
+        if cut.fence <= self.cut.fence {
+            return if cut.fence == self.cut.fence { Taken::Same } else { Taken::Older };
+        }
+        let old = std::mem::replace(&mut self.cut, cut.sorted());
+        let until = now + self.bounds.hand_over;
+        for (key, held) in &mut self.keys {
+            let owner = self.cut.owner(self.zone.as_deref(), key).map(|gateway| gateway.life);
+            if owner == held.owner {
+                continue;
+            }
+            // An earlier holder that stops as planned is in no cut, yet serves on: it is told all the same.
+            let before = held.owner.filter(|before| *before != self.me && owner == Some(self.me));
+            held.from = before.and_then(|before| old.find(before)).cloned();
+            // Never put down in between: there is nothing to wait for.
+            held.say = held.started && held.from.is_some();
+            let mine = held.owner == Some(self.me) && held.started || held.handing.is_some();
+            let hands = mine && owner.is_some() && owner != Some(self.me);
+            held.handing = hands.then(|| held.handing.unwrap_or(until));
+            held.owner = owner;
+            self.due.insert(key.clone());
+        }
+        self.confirm(now, self.cut.fence);
+        Taken::Newer
+    }
+
+    /// One who is in touch with the registrars says that this is the newest fence.
+    pub fn confirm(&mut self, now: Nanos, fence: Fence) {
+        if fence != self.cut.fence || fence == Fence::default() {
+            return;
+        }
+        let gap = self.confirmed.is_none_or(|at| now - at > self.bounds.unconfirmed);
+        if self.cut.find(self.me).is_none() {
+            self.counted_since = None;
+        } else if gap || self.counted_since.is_none() {
+            self.counted_since = Some(now);
+        }
+        self.confirmed = Some(self.confirmed.map_or(now, |at| at.max(now)));
+    }
+
+    /// Refuses what comes under a fence older than the newest cut's.
+    pub fn allows(&self, fence: Fence) -> bool {
+        fence >= self.cut.fence
+    }
+
+    /// By how many gateways a budget is shared. None while this gateway may take no share: not counted long enough
+    /// for all others to know, or not confirmed for too long, so that others may have stopped counting it.
+    pub fn shared_by(&self, now: Nanos) -> Option<u32> {
+        let counted = self.counted_since.is_some_and(|since| now - since >= self.bounds.unconfirmed);
+        let confirmed = self.confirmed.is_some_and(|at| now - at < self.bounds.unconfirmed);
+        (counted && confirmed).then_some(self.cut.may_be_alive.max(1))
+    }
+
+    /// The keys there are; those not named any more are put down.
+    pub fn watch<'a>(&mut self, keys: impl IntoIterator<Item = &'a str>) {
+        let mut before = std::mem::take(&mut self.keys);
+        for key in keys {
+            if self.keys.len() >= self.bounds.most_keys || self.keys.contains_key(key) {
+                continue;
+            }
+            let held = before.remove(key).unwrap_or_else(|| {
+                self.due.insert(key.to_string());
+                let owner = self.cut.owner(self.zone.as_deref(), key).map(|gateway| gateway.life);
+                Held { owner, ..Held::default() }
+            });
+            self.keys.insert(key.to_string(), held);
+        }
+        self.stops.extend(before.into_iter().filter(|(_, held)| held.started).map(|(key, _)| key));
+    }
+
+    /// How this gateway stands to a key, watched or not.
+    pub fn standing(&self, now: Nanos, key: &str) -> Standing<'_> {
+        let held = self.keys.get(key);
+        let owner = match held {
+            Some(held) => held.owner.and_then(|life| self.cut.find(life)),
+            None => self.cut.owner(self.zone.as_deref(), key),
+        };
+        match (owner, held.and_then(|held| held.handing)) {
+            (Some(owner), _) if owner.life == self.me => Standing::Mine,
+            (Some(to), Some(until)) if now < until => Standing::Handing { to, until },
+            (Some(owner), _) => Standing::Other(owner),
+            (None, _) => Standing::Nobody,
+        }
+    }
+
+    /// True where this gateway answers for a key now: it has it, or serves on until the new holder has it.
+    pub fn serves(&self, now: Nanos, key: &str) -> bool {
+        matches!(self.standing(now, key), Standing::Mine | Standing::Handing { .. })
+    }
+
+    /// The new holder of a key says that it has it.
+    pub fn taken_over(&mut self, by: LifeId, key: &str, fence: Fence) {
+        if fence < self.cut.fence {
+            return;
+        }
+        if let Some(held) = self.keys.get_mut(key)
+            && held.owner == Some(by)
+            && held.handing.take().is_some()
+        {
+            self.due.insert(key.to_string());
+        }
+    }
+
+    /// The host has taken up a key: the earlier holder may stop.
+    pub fn started(&mut self, key: &str) {
+        if let Some(held) = self.keys.get_mut(key)
+            && held.owner == Some(self.me)
+        {
+            held.say = held.from.is_some();
+            self.due.insert(key.to_string());
+        }
+    }
+
+    /// The next thing to do, until there is none.
+    pub fn next(&mut self, now: Nanos) -> Option<Order> {
+        let fence = self.cut.fence;
+        if let Some(key) = self.stops.pop_front() {
+            // Named again in between: it is taken up anew after this.
+            return Some(Order::Stop { key, fence });
+        }
+        while let Some(key) = self.due.pop_first() {
+            let Some(held) = self.keys.get_mut(&key) else { continue };
+            let mine = held.owner == Some(self.me);
+            if mine && !held.started {
+                held.started = true;
+                return Some(Order::Start { key, fence, from: held.from.clone() });
+            }
+            if mine && held.say {
+                held.say = false;
+                if let Some(to) = held.from.take() {
+                    return Some(Order::SayTaken { to, key, fence });
+                }
+            }
+            if !mine && held.started {
+                match held.handing {
+                    Some(until) if now < until => {
+                        let at = self.check_at.map_or(until, |at| at.min(until));
+                        self.check_at = Some(at);
+                    }
+                    _ => {
+                        *held = Held { owner: held.owner, ..Held::default() };
+                        return Some(Order::Stop { key, fence });
+                    }
+                }
+            }
+        }
+        if self.check_at.is_some_and(|at| now >= at) {
+            self.check_at = None;
+            let handing = self.keys.iter().filter(|(_, held)| held.handing.is_some());
+            self.due.extend(handing.map(|(key, _)| key.clone()));
+            return if self.due.is_empty() { None } else { self.next(now) };
+        }
+        None
+    }
+
+    /// When something is to be done without anything coming in.
+    pub fn wakes_at(&self) -> Option<Nanos> {
+        self.check_at
+    }
+}
