Add the log and counters, and calls over HTTP as pairs of types

Both programs of the system need one log with a fixed prefix for each part, and one generic handler for calls and their answers.

--- /dev/null
+++ b/crates/fernknot-gauge/src/lib.rs
@@ -0,0 +1,54 @@
+//! What a process tells of itself: short sentences in its log, each behind the fixed name of its part, and
+//! counters by name.
+//!
+//! A sentence is written with the name of its part as target: `log::info!(target: gauge::part::VIEWS, ...)`.
+//! Writing takes processor time that is paid for: only changes are told, never a single request or beat.
+
+mod counters;
+
+pub use counters::Counters;
+pub use log::LevelFilter;
+
+/// The parts that speak; each name is the fixed prefix of its sentences.
+pub mod part {
+    /// The program as a whole: its start and its end.
+    pub const PROCESS: &str = "process";
+    /// The settings file.
+    pub const FACTS: &str = "facts";
+    /// Sockets and who is at their other ends.
+    pub const LINKS: &str = "links";
+    /// Who keeps the control state, and in which order it changes.
+    pub const VIEWS: &str = "views";
+    /// Configurations taken or refused.
+    pub const PLAN: &str = "plan";
+    /// Nodes as they beat, drain and go.
+    pub const NODES: &str = "nodes";
+    /// Which gateway has which duty.
+    pub const DUTIES: &str = "duties";
+    /// The disk.
+    pub const DISK: &str = "disk";
+}
+
+/// Begins the log: sentences of this level and above go to standard error.
+///
+/// # Errors
+/// Where a log has begun already.
+pub fn begin(level: LevelFilter) -> Result<(), log::SetLoggerError> {
+    fern::Dispatch::new()
+        .format(|out, sentence, record| {
+            out.finish(format_args!("{} {}: {sentence}", letter(record.level()), record.target()));
+        })
+        .level(level)
+        .chain(std::io::stderr())
+        .apply()
+}
+
+fn letter(level: log::Level) -> char {
+    match level {
+        log::Level::Error => 'E',
+        log::Level::Warn => 'W',
+        log::Level::Info => 'I',
+        log::Level::Debug => 'D',
+        log::Level::Trace => 'T',
+    }
+}
--- /dev/null
+++ b/crates/fernknot-standpipe/src/tap.rs
@@ -0,0 +1,78 @@
+//! One connection's requests, one after the other, and their answers.
+
+use crate::call::Reply;
+use fernknot_config::Limits;
+use fernknot_protocol::buffer::Buffer;
+use fernknot_protocol::http::{Answer, GO_ON, Request, RequestReader};
+
+/// What callers may send.
+#[derive(Clone, Debug)]
+pub struct TapFacts {
+    pub limits: Limits,
+}
+
+/// What came of the bytes that are there.
+#[derive(Debug)]
+pub enum Pulled {
+    /// Nothing whole yet, or the one before is unanswered.
+    Nothing,
+    Call(Request),
+    /// No request, or one too large: its answer is written, and the connection ends after it.
+    Bad,
+}
+
+/// One connection: reads a request only once the one before is answered.
+#[derive(Debug, Default)]
+pub struct Tap {
+    reader: RequestReader,
+    /// Whether the connection goes on, and the caller's older HTTP, of the request that waits for its answer.
+    waits: Option<(bool, bool)>,
+}
+
+impl Tap {
+    /// A request waits for its answer.
+    pub fn waits(&self) -> bool {
+        self.waits.is_some()
+    }
+
+    /// A request has begun to come.
+    pub fn is_open(&self) -> bool {
+        self.reader.is_open()
+    }
+
+    /// The next request, once all of it has come.
+    pub fn pull(&mut self, input: &mut Buffer, out: &mut Buffer, facts: &TapFacts) -> Pulled {
+        if self.waits.is_some() || (input.is_empty() && !self.reader.is_open()) {
+            return Pulled::Nothing;
+        }
+        match self.reader.read(input, &facts.limits) {
+            Ok(Some(request)) => {
+                self.waits = Some((request.keep, request.old));
+                Pulled::Call(request)
+            }
+            Ok(None) => {
+                if self.reader.wants_leave() {
+                    out.push(GO_ON);
+                }
+                Pulled::Nothing
+            }
+            Err(bad) => {
+                write(out, &Reply::refused(bad.status, bad.why), false, false);
+                Pulled::Bad
+            }
+        }
+    }
+
+    /// Writes the answer to the request that waits. True where the connection goes on after it; `last` ends it.
+    pub fn answer(&mut self, out: &mut Buffer, reply: &Reply, last: bool) -> bool {
+        let Some((keep, old)) = self.waits.take() else { return true };
+        let keep = keep && !last;
+        write(out, reply, keep, old);
+        keep
+    }
+}
+
+fn write(out: &mut Buffer, reply: &Reply, keep: bool, old: bool) {
+    Answer { status: reply.status, kind: reply.kind, wait: reply.wait, keep, old }
+        .write(out, reply.body.bytes());
+}
