--- /dev/null
+++ b/crates/fernknot-intake/src/beat.rs
@@ -0,0 +1,75 @@
+//! What a node says of itself about every beat.
+
+use std::net::SocketAddrV4;
+
+use bitcode::{Decode, Encode};
+
+use crate::walk::{Fault, Walk, parse};
+
+/// The body of a heartbeat. The node's id is in the path of the call.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Beat {
+    /// The service that the node belongs to.
+    pub backend: String,
+    pub address: SocketAddrV4,
+    pub zone: String,
+    /// The epoch of the node's software.
+    pub epoch: String,
+    /// How many requests it works on at once.
+    pub capacity: u32,
+    pub state: NodeState,
+    /// How much longer it stays slow from its start, in milliseconds.
+    pub warmup_left_ms: u64,
+    /// Rises with every call of a node's life, so that a late call can be known.
+    pub call_seq: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub enum NodeState {
+    Ready,
+    Draining,
+}
+
+impl Beat {
+    /// Reads the body of a beat. Unknown keys pass; only what nothing can be done without must be
+    /// there, since a node whose beats are refused gets no work.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the body at once; the call wants a 4xx.
+    pub fn read(bytes: &[u8]) -> Result<Beat, Vec<Fault>> {
+        let value = parse(bytes)?;
+        let top = Walk::whole(&value);
+        let mut faults = Vec::new();
+        let f = &mut faults;
+        for key in ["backend", "address", "state"] {
+            top.need(f, key);
+        }
+        let state = match top.text(f, "state").as_deref() {
+            Some("draining") => NodeState::Draining,
+            Some("ready") | None => NodeState::Ready,
+            Some(_) => {
+                top.fault(f, "state", "is neither `ready` nor `draining`");
+                NodeState::Ready
+            }
+        };
+        // A software epoch is a name, but a number names one as well.
+        let epoch = match top.get("epoch").filter(|epoch| epoch.is_number()) {
+            Some(number) => number.to_string(),
+            None => top.text(f, "epoch").unwrap_or_default(),
+        };
+        let address = top.parsed(f, "address", "an IPv4 address with a port");
+        let capacity = top.whole_number(f, "capacity").unwrap_or(1);
+        let beat = Beat {
+            backend: top.text(f, "backend").unwrap_or_default(),
+            address: address.unwrap_or(SocketAddrV4::new([0, 0, 0, 0].into(), 0)),
+            zone: top.text(f, "zone").unwrap_or_default(),
+            epoch,
+            capacity: u32::try_from(capacity).unwrap_or(u32::MAX),
+            state,
+            warmup_left_ms: top.whole_number(f, "warmup_left_ms").unwrap_or(0),
+            call_seq: top.whole_number(f, "call_seq").unwrap_or(0),
+        };
+        if faults.is_empty() { Ok(beat) } else { Err(faults) }
+    }
+}
--- /dev/null
+++ b/crates/fernknot-intake/src/lib.rs
@@ -0,0 +1,21 @@
+//! README: reading and checking of what processes and operators say. Bytes come in, values or
+//! faults go out; nothing here does I/O, knows the time or decides anything.
+//!
+//! | Part | Reads |
+//! |---|---|
+//! | [`process`] | what a process is told in its settings file |
+//! | [`plan`] | the operator's configuration |
+//! | [`beat`] | a node's heartbeat |
+//! | [`routes`] | host and path of a request, by the routes of a plan |
+
+pub mod beat;
+pub mod plan;
+pub mod process;
+pub mod routes;
+mod walk;
+
+pub use beat::{Beat, NodeState};
+pub use plan::{Class, ClientLimits, Plan, Route, Service, Target, digest};
+pub use process::{BindAddrs, Bounds, FaultBudget, Limits, ProcessFacts};
+pub use routes::RouteTable;
+pub use walk::Fault;
