Bring news to each zone once: a home for each topic, and registrars where a home is stale

Cause: streams from registrars to every gateway cross zones once a gateway and change. Change: a state machine of one gateway that attaches to homes and registrars, relays pulses, and goes to a registrar itself when a home or its registrar is silent, keeping the old source until the new one speaks.

--- /dev/null
+++ b/crates/fernknot-homes/src/homes.rs
@@ -0,0 +1,297 @@
+//! The state machine of one gateway.
+
+use crate::link::{Link, Pulse, Topic, What};
+use crate::registrars::{Pauses, Registrar};
+use fernknot::interface::Nanos;
+use fernknot_duties::{Cut, LifeId};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddrV4;
+
+/// Time between two pulses, as a share of the time in which news has to be in force.
+const PULSE: f64 = 1.0 / 20.0;
+/// A teller whose last fresh pulse is older is stale.
+const STALE: f64 = 1.0 / 8.0;
+/// A home that is well but says that its own registrar is silent gets so long to find another. With the attaching
+/// that follows, a home costs its zone less than a third.
+const PATIENCE: f64 = 1.0 / 4.0;
+/// How long an earlier home serves on after a cut, for those who heard of it later.
+const HAND_OVER: f64 = 1.0 / 3.0;
+
+/// What a gateway may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct HomesBounds {
+    pub most_topics: usize,
+    pub most_subscribers: usize,
+    pub most_registrars: usize,
+}
+
+impl Default for HomesBounds {
+    fn default() -> Self {
+        HomesBounds { most_topics: 4_096, most_subscribers: 4_096, most_registrars: 64 }
+    }
+}
+
+/// What the host has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Have a link to this process and take these topics on it, and no others. Given again when the topics change.
+    Attach { addr: SocketAddrV4, what: What, topics: Vec<Topic> },
+    /// Close the link.
+    Detach { addr: SocketAddrV4, what: What },
+    /// Pass a pulse on to these subscribers.
+    Relay { to: Vec<SocketAddrV4>, pulse: Pulse },
+}
+
+/// Where one gateway gets each topic's news, and to whom it passes them on.
+#[derive(Clone, Debug)]
+pub struct Homes {
+    pub(crate) me: LifeId,
+    pub(crate) zone: String,
+    pub(crate) bounds: HomesBounds,
+    pub(crate) pulse_every: Nanos,
+    pub(crate) stale: Nanos,
+    pub(crate) patience: Nanos,
+    pub(crate) hand_over: Nanos,
+    pub(crate) cut: Cut,
+    /// The home of each topic; None where this gateway is it, or no gateway of the zone lives.
+    pub(crate) topics: BTreeMap<Topic, Option<SocketAddrV4>>,
+    /// Topics of which this gateway was the home until a cut, and until when it serves on.
+    pub(crate) handing: BTreeMap<Topic, Nanos>,
+    /// Where a topic came from before a cut; held until the new source is fresh, or for a bounded while.
+    pub(crate) moving: BTreeMap<Topic, (What, SocketAddrV4, Nanos)>,
+    /// Homes that are stale.
+    pub(crate) fallen: BTreeSet<SocketAddrV4>,
+    pub(crate) links: BTreeMap<(What, SocketAddrV4), Link>,
+    pub(crate) registrars: Vec<Registrar>,
+    pub(crate) current: Option<SocketAddrV4>,
+    pub(crate) trial: Option<SocketAddrV4>,
+    pub(crate) pauses: Pauses,
+    pub(crate) subscribers: BTreeMap<SocketAddrV4, BTreeSet<Topic>>,
+    pub(crate) newest: Pulse,
+    pub(crate) orders: VecDeque<Order>,
+    pub(crate) dirty: bool,
+    pub(crate) look_at: Nanos,
+    pub(crate) relay_at: Nanos,
+}
+
+impl Homes {
+    /// `apply` is the time in which news has to be in force after its acknowledgement (the bound `apply_ms`). The
+    /// configuration is a topic from the start.
+    pub fn new(me: LifeId, zone: &str, apply: Nanos, bounds: HomesBounds, seed: u64) -> Homes {
+        let stale = apply.times(STALE);
+        Homes {
+            me,
+            zone: zone.to_string(),
+            bounds,
+            pulse_every: apply.times(PULSE),
+            stale,
+            patience: apply.times(PATIENCE),
+            hand_over: apply.times(HAND_OVER),
+            cut: Cut::default(),
+            topics: BTreeMap::from([(Topic::Configuration, None)]),
+            handing: BTreeMap::new(),
+            moving: BTreeMap::new(),
+            fallen: BTreeSet::new(),
+            links: BTreeMap::new(),
+            registrars: Vec::new(),
+            current: None,
+            trial: None,
+            pauses: Pauses::new(seed, stale, 256),
+            subscribers: BTreeMap::new(),
+            newest: Pulse::default(),
+            orders: VecDeque::new(),
+            dirty: true,
+            look_at: Nanos(0),
+            relay_at: Nanos(0),
+        }
+    }
+
+    /// The life whose news this is about.
+    pub fn life(&self) -> LifeId {
+        self.me
+    }
+
+    /// Time between two pulses of a registrar, as this machine expects them.
+    pub fn pulse_every(apply: Nanos) -> Nanos {
+        apply.times(PULSE)
+    }
+
+    /// The services there are by the newest configuration.
+    pub fn services<'a>(&mut self, names: impl IntoIterator<Item = &'a str>) {
+        let named = names.into_iter().map(Topic::service).take(self.bounds.most_topics);
+        let named: BTreeSet<Topic> = named.chain([Topic::Configuration]).collect();
+        if named.iter().eq(self.topics.keys()) {
+            return;
+        }
+        let homes = named.into_iter().map(|topic| {
+            let home = self.topics.get(&topic).copied().unwrap_or_else(|| self.home_of(&topic));
+            (topic, home)
+        });
+        self.topics = homes.collect();
+        self.handing.retain(|topic, _| self.topics.contains_key(topic));
+        self.moving.retain(|topic, _| self.topics.contains_key(topic));
+        self.dirty = true;
+    }
+
+    /// The registrars there are, as the overlay or a view names them.
+    pub fn registrars(&mut self, registrars: &[Registrar]) {
+        let mut known: Vec<Registrar> =
+            registrars.iter().take(self.bounds.most_registrars).cloned().collect();
+        known.sort();
+        known.dedup_by_key(|registrar| registrar.addr);
+        if known != self.registrars {
+            self.registrars = known;
+            self.dirty = true;
+        }
+    }
+
+    /// A cut came; an older one changes nothing.
+    pub fn cut(&mut self, now: Nanos, cut: &Cut) {
+        if cut.fence <= self.cut.fence {
+            return;
+        }
+        let was_live = self.cut.find(self.me).is_some();
+        self.cut = cut.of_zone(&self.zone).sorted();
+        let until = now + self.hand_over;
+        let moved: Vec<(Topic, Option<SocketAddrV4>)> =
+            self.topics.keys().map(|topic| (topic.clone(), self.home_of(topic))).collect();
+        for (topic, home) in moved {
+            let before = self.topics.insert(topic.clone(), home).flatten();
+            if before == home {
+                continue;
+            }
+            match before {
+                Some(addr) => {
+                    self.moving.insert(topic, (What::Home, addr, until));
+                }
+                None if was_live => {
+                    self.handing.insert(topic, until);
+                }
+                // No cut named this gateway before: nobody counts on it, but the news must not stop.
+                None => {
+                    if let Some(registrar) = self.current {
+                        self.moving.insert(topic, (What::Registrar, registrar, until));
+                    }
+                }
+            }
+        }
+        let homes: BTreeSet<SocketAddrV4> = self.topics.values().flatten().copied().collect();
+        self.fallen.retain(|addr| homes.contains(addr));
+        self.dirty = true;
+    }
+
+    /// A pulse came on a link.
+    pub fn pulse(&mut self, now: Nanos, from: SocketAddrV4, what: What, pulse: Pulse) {
+        let stale = self.stale;
+        let Some(link) = self.links.get_mut(&(what, from)) else { return };
+        let was_fresh = link.is_fresh(now, stale);
+        link.pulse(now, pulse.lease, stale);
+        self.dirty |= was_fresh != link.is_fresh(now, stale) || (what == What::Registrar && !pulse.lease);
+        if pulse.lease {
+            self.pauses.worked(from);
+        }
+        if pulse.order >= self.newest.order {
+            self.newest.order = pulse.order;
+        }
+        self.newest.fence = self.newest.fence.max(pulse.fence);
+        if what == What::Registrar && Some(from) == self.current {
+            self.newest.registry = pulse.registry;
+        }
+    }
+
+    /// News came on a link: its teller is well, which says nothing of a lease.
+    pub fn told(&mut self, now: Nanos, from: SocketAddrV4, what: What) {
+        if let Some(link) = self.links.get_mut(&(what, from)) {
+            link.well_at = link.well_at.max(now);
+        }
+    }
+
+    /// A link broke, or could not be had.
+    pub fn lost(&mut self, now: Nanos, addr: SocketAddrV4, what: What) {
+        if self.links.remove(&(what, addr)).is_none() {
+            return;
+        }
+        self.pauses.failed(now, addr);
+        match what {
+            What::Registrar => {
+                self.current = self.current.filter(|current| *current != addr);
+                self.trial = self.trial.filter(|trial| *trial != addr);
+            }
+            What::Home => {
+                self.fallen.insert(addr);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Another gateway asks for topics, or for none any more. Returns false where there is no room for it.
+    pub fn subscribed(&mut self, from: SocketAddrV4, topics: impl IntoIterator<Item = Topic>) -> bool {
+        let topics: BTreeSet<Topic> = topics.into_iter().take(self.bounds.most_topics).collect();
+        if topics.is_empty() {
+            self.subscribers.remove(&from);
+        } else if self.subscribers.len() < self.bounds.most_subscribers
+            || self.subscribers.contains_key(&from)
+        {
+            self.subscribers.insert(from, topics);
+        } else {
+            return false;
+        }
+        true
+    }
+
+    /// This process was frozen: what did not come says nothing of the tellers.
+    pub fn was_away(&mut self, now: Nanos) {
+        for link in self.links.values_mut() {
+            (link.well_at, link.fresh_at, link.since) = (now, now, now);
+        }
+    }
+
+    /// The subscribers to whom a topic's news is to be passed on.
+    pub fn subscribers(&self, topic: &Topic) -> impl Iterator<Item = SocketAddrV4> {
+        self.subscribers.iter().filter(|(_, topics)| topics.contains(topic)).map(|(addr, _)| *addr)
+    }
+
+    /// The newest place in the order and the newest fence that any teller spoke of: what is older here is to be
+    /// asked for.
+    pub fn newest(&self) -> Pulse {
+        self.newest
+    }
+
+    /// How long ago one that is in touch with the rest last spoke for a topic. None if none ever did on the links
+    /// there are.
+    pub fn fresh_ago(&self, now: Nanos, topic: &Topic) -> Option<Nanos> {
+        let links = self.links.values().filter(|link| link.topics.contains(topic));
+        links.filter(|link| link.fresh_since.is_some()).map(|link| now - link.fresh_at).min()
+    }
+
+    /// The registrar this gateway is with, if it needs one.
+    pub fn registrar(&self) -> Option<SocketAddrV4> {
+        self.current
+    }
+
+    /// True where this gateway takes the topic from a registrar for others.
+    pub fn is_home(&self, topic: &Topic) -> bool {
+        self.topics.get(topic) == Some(&None) && self.cut.find(self.me).is_some()
+    }
+
+    /// The next thing to do, until there is none.
+    pub fn next(&mut self, now: Nanos) -> Option<Order> {
+        if self.orders.is_empty() && (self.dirty || now >= self.look_at) {
+            self.look(now);
+        }
+        if self.orders.is_empty() && now >= self.relay_at {
+            self.relay(now);
+        }
+        self.orders.pop_front()
+    }
+
+    /// When to ask again though nothing came.
+    pub fn wakes_at(&self) -> Nanos {
+        if self.subscribers.is_empty() { self.look_at } else { self.look_at.min(self.relay_at) }
+    }
+
+    fn home_of(&self, topic: &Topic) -> Option<SocketAddrV4> {
+        let owner = self.cut.owner(Some(&self.zone), &topic.key())?;
+        (owner.life != self.me).then_some(owner.addr)
+    }
+}
--- /dev/null
+++ b/crates/fernknot-homes/src/plan.rs
@@ -0,0 +1,170 @@
+//! Which links there have to be, by what is known now.
+
+use crate::homes::{Homes, Order};
+use crate::link::{Link, Pulse, Topic, What};
+use fernknot::interface::Nanos;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+type Plan = BTreeMap<(What, SocketAddrV4), BTreeSet<Topic>>;
+
+impl Homes {
+    pub(crate) fn look(&mut self, now: Nanos) {
+        (self.dirty, self.look_at) = (false, now + self.pulse_every);
+        self.handing.retain(|_, until| now < *until);
+        self.judge_homes(now);
+        let direct = self.direct();
+        self.choose_registrar(now, !direct.is_empty());
+        let plan = self.plan(now, &direct);
+        self.order(now, plan);
+    }
+
+    /// Homes fall when stale and stand again when they have been fresh for a span.
+    fn judge_homes(&mut self, now: Nanos) {
+        let homes: BTreeSet<SocketAddrV4> = self.topics.values().flatten().copied().collect();
+        for addr in homes {
+            let link = self.links.get(&(What::Home, addr));
+            let spread = self.stale.times(0.25 * self.pauses.chance(addr.port() as u64));
+            let holds = link.is_some_and(|link| {
+                let is_well = now - link.well_at <= self.stale && link.heard;
+                let span = if is_well { self.patience } else { self.stale };
+                now - link.fresh_at <= span + spread
+            });
+            let steady = link.filter(|link| link.is_fresh(now, self.stale)).and_then(|link| link.fresh_since);
+            if !self.fallen.contains(&addr) {
+                if link.is_some() && !holds {
+                    self.fallen.insert(addr);
+                }
+            } else if steady.is_some_and(|since| now - since >= self.stale) {
+                self.fallen.remove(&addr);
+            }
+        }
+    }
+
+    /// Topics to be had from a registrar: as their home, as the home until lately, or since the home is stale.
+    fn direct(&self) -> BTreeSet<Topic> {
+        let direct = self.topics.iter().filter(|(topic, home)| {
+            home.is_none_or(|addr| self.fallen.contains(&addr)) || self.handing.contains_key(topic)
+        });
+        direct.map(|(topic, _)| topic.clone()).collect()
+    }
+
+    fn choose_registrar(&mut self, now: Nanos, needed: bool) {
+        if !needed {
+            (self.current, self.trial) = (None, None);
+            return;
+        }
+        let link =
+            |addr: Option<SocketAddrV4>| addr.and_then(|addr| self.links.get(&(What::Registrar, addr)));
+        let is_fresh = |addr| link(addr).is_some_and(|link: &Link| link.is_fresh(now, self.stale));
+        if let Some(trial) = self.trial {
+            let tried = link(Some(trial));
+            if is_fresh(Some(trial)) {
+                (self.current, self.trial) = (Some(trial), None);
+            } else if tried.is_some_and(|link| link.heard)
+                && !link(self.current).is_some_and(|link| link.heard)
+            {
+                // No lease, but the only one that speaks: better than none while the search goes on.
+                self.pauses.failed(now, trial);
+                (self.current, self.trial) = (Some(trial), None);
+            } else if tried.is_some_and(|link| link.heard || now - link.since > self.stale) {
+                self.pauses.failed(now, trial);
+                self.trial = None;
+            }
+        }
+        let link =
+            |addr: Option<SocketAddrV4>| addr.and_then(|addr| self.links.get(&(What::Registrar, addr)));
+        if let Some(current) = self.current
+            && link(self.current).is_none_or(|link| now - link.well_at > self.patience)
+        {
+            self.pauses.failed(now, current);
+            self.current = None;
+        }
+        let settled = link(self.current).is_some_and(|link| now - link.fresh_at <= self.stale);
+        let zone_of = |addr: SocketAddrV4| {
+            let known = self.registrars.iter().find(|registrar| registrar.addr == addr);
+            known.map(|registrar| registrar.zone.as_str())
+        };
+        let at_home = self.current.and_then(zone_of) == Some(self.zone.as_str());
+        let named = self.current.is_some_and(|addr| zone_of(addr).is_some());
+        if self.trial.is_some() || (settled && at_home) {
+            return;
+        }
+        let others = self.registrars.iter().filter(|registrar| Some(registrar.addr) != self.current);
+        let free = others.filter(|registrar| self.pauses.is_over(now, registrar.addr));
+        // From a registrar that is well, only to one of the own zone; or away from one that is not named any more.
+        let better = free.filter(|registrar| !settled || !named || registrar.zone == self.zone);
+        self.trial = better
+            .min_by_key(|registrar| (registrar.zone != self.zone, self.pauses.rank(registrar.addr)))
+            .map(|registrar| registrar.addr);
+    }
+
+    fn plan(&mut self, now: Nanos, direct: &BTreeSet<Topic>) -> Plan {
+        let mut plan = Plan::new();
+        for addr in self.current.iter().chain(&self.trial) {
+            plan.insert((What::Registrar, *addr), direct.clone());
+        }
+        for (topic, home) in &self.topics {
+            if let Some(addr) = home {
+                plan.entry((What::Home, *addr)).or_default().insert(topic.clone());
+            }
+        }
+        // The old source is kept until the new one speaks.
+        let (links, topics, stale, current) = (&self.links, &self.topics, self.stale, self.current);
+        self.moving.retain(|topic, (what, addr, until)| {
+            let source = match topics.get(topic) {
+                Some(Some(home)) => Some((What::Home, *home)),
+                _ => current.map(|addr| (What::Registrar, addr)),
+            };
+            let speaks =
+                source.and_then(|source| links.get(&source)).is_some_and(|link| link.is_fresh(now, stale));
+            let keep = now < *until && !speaks && links.contains_key(&(*what, *addr));
+            if keep {
+                plan.entry((*what, *addr)).or_default().insert(topic.clone());
+            }
+            keep
+        });
+        plan
+    }
+
+    fn order(&mut self, now: Nanos, plan: Plan) {
+        let old: Vec<(What, SocketAddrV4)> =
+            self.links.keys().filter(|key| !plan.contains_key(key)).copied().collect();
+        for (what, addr) in old {
+            self.links.remove(&(what, addr));
+            self.orders.push_back(Order::Detach { addr, what });
+        }
+        for ((what, addr), topics) in plan {
+            match self.links.get_mut(&(what, addr)) {
+                Some(link) if link.topics == topics => continue,
+                Some(link) => link.topics.clone_from(&topics),
+                // A home that was lost is tried again after a pause; a registrar was chosen after its own.
+                None if what == What::Home && !self.pauses.is_over(now, addr) => continue,
+                None => {
+                    self.links.insert((what, addr), Link::new(now, topics.clone()));
+                }
+            }
+            self.orders.push_back(Order::Attach { addr, what, topics: topics.into_iter().collect() });
+        }
+    }
+
+    /// Passes the pulse of this gateway's registrar on, to those whose topics it takes from there.
+    pub(crate) fn relay(&mut self, now: Nanos) {
+        self.relay_at = now + self.pulse_every;
+        if self.subscribers.is_empty() {
+            return;
+        }
+        let link = self.current.and_then(|addr| self.links.get(&(What::Registrar, addr)));
+        // Fresher than stale: what is passed on is old already when it arrives.
+        let lease = link.is_some_and(|link| link.is_fresh(now, self.pulse_every.times(2.0)));
+        let has = |topics: &BTreeSet<Topic>| link.is_some_and(|link| topics.is_subset(&link.topics));
+        let (with, without): (Vec<_>, Vec<_>) = self.subscribers.iter().partition(|(_, topics)| has(topics));
+        for (group, lease) in [(with, lease), (without, false)] {
+            if !group.is_empty() {
+                let to = group.into_iter().map(|(addr, _)| *addr).collect();
+                let pulse = Pulse { lease, ..self.newest };
+                self.orders.push_back(Order::Relay { to, pulse });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernknot-homes/src/registrars.rs
@@ -0,0 +1,70 @@
+//! Which registrar a gateway is with, and how it goes to another.
+
+use fernknot::interface::Nanos;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// Most doublings of the pause after failed tries.
+const MOST_DOUBLINGS: u32 = 4;
+
+/// A registrar that is known to be there.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Registrar {
+    pub addr: SocketAddrV4,
+    pub zone: String,
+}
+
+/// Pauses after failures, by address; spread by chance so that many gateways don't try at once.
+#[derive(Clone, Debug)]
+pub(crate) struct Pauses {
+    seed: u64,
+    tries: u64,
+    stale: Nanos,
+    most: usize,
+    by_addr: BTreeMap<SocketAddrV4, (u32, Nanos)>,
+}
+
+impl Pauses {
+    pub fn new(seed: u64, stale: Nanos, most: usize) -> Pauses {
+        Pauses { seed, tries: 0, stale, most, by_addr: BTreeMap::new() }
+    }
+
+    pub fn failed(&mut self, now: Nanos, addr: SocketAddrV4) {
+        self.tries += 1;
+        let spread = 0.5 + self.chance(self.tries);
+        let fails = self.by_addr.get(&addr).map_or(0, |(fails, _)| *fails);
+        let pause = self.stale.times(2f64.powi(fails.min(MOST_DOUBLINGS) as i32) * spread);
+        if self.by_addr.len() >= self.most && !self.by_addr.contains_key(&addr) {
+            self.by_addr.retain(|_, (_, until)| *until > now);
+            if self.by_addr.len() >= self.most {
+                self.by_addr.pop_first();
+            }
+        }
+        self.by_addr.insert(addr, (fails.saturating_add(1), now + pause));
+    }
+
+    pub fn worked(&mut self, addr: SocketAddrV4) {
+        self.by_addr.remove(&addr);
+    }
+
+    pub fn is_over(&self, now: Nanos, addr: SocketAddrV4) -> bool {
+        self.by_addr.get(&addr).is_none_or(|(_, until)| now >= *until)
+    }
+
+    /// A share of one, the same each time for this process and number.
+    pub fn chance(&self, number: u64) -> f64 {
+        (mix(self.seed ^ mix(number)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// An order of addresses of this process's own.
+    pub fn rank(&self, addr: SocketAddrV4) -> u64 {
+        mix(self.seed ^ mix((u32::from(*addr.ip()) as u64) << 16 | addr.port() as u64))
+    }
+}
+
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ value >> 31
+}
--- /dev/null
+++ b/crates/fernknot-homes/tests/common/mod.rs
@@ -0,0 +1,280 @@
+//! A few zones of gateways and registrars in memory, on a clock of 10 ms steps.
+
+use fernknot::interface::Nanos;
+use fernknot_duties::{Cut, Fence, Gateway, LifeId};
+use fernknot_homes::{Homes, HomesBounds, Order, Pulse, Registrar, Topic, What};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+pub const APPLY: Nanos = Nanos(3_000_000_000);
+pub const ZONES: [&str; 3] = ["north", "south", "east"];
+const STEP: u64 = 10;
+
+pub fn millis(ms: u64) -> Nanos {
+    Nanos(ms * 1_000_000)
+}
+
+pub fn gateway_addr(life: u64) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, (life >> 8) as u8, life as u8), 7120)
+}
+
+pub fn registrar_addr(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, number), 8729)
+}
+
+pub fn zone(life: u64) -> &'static str {
+    ZONES[life as usize % 3]
+}
+
+pub fn cut(count: u32, lives: impl IntoIterator<Item = u64>) -> Cut {
+    let gateway =
+        |life| Gateway { life: LifeId(life), addr: gateway_addr(life), zone: zone(life).to_string() };
+    let live: Vec<Gateway> = lives.into_iter().map(gateway).collect();
+    Cut { fence: Fence::of(1, count), may_be_alive: live.len() as u32, live }.sorted()
+}
+
+pub fn topics() -> Vec<Topic> {
+    let services = (0..12).map(|number| Topic::service(&format!("service-{number}")));
+    [Topic::Configuration].into_iter().chain(services).collect()
+}
+
+pub struct Teller {
+    pub zone: &'static str,
+    pub lease: bool,
+    pub silent: bool,
+    /// It takes no connections, and those it had are broken.
+    pub dead: bool,
+}
+
+pub struct Member {
+    pub homes: Homes,
+    /// The newest news of each topic that came.
+    pub has: BTreeMap<Topic, u64>,
+    pub silent: bool,
+    pub dead: bool,
+    pub links: BTreeMap<(What, SocketAddrV4), BTreeSet<Topic>>,
+}
+
+/// News is a number for each topic; it crosses no time but the steps.
+pub struct World {
+    pub ms: u64,
+    pub members: BTreeMap<u64, Member>,
+    pub tellers: BTreeMap<SocketAddrV4, Teller>,
+    pub news: BTreeMap<Topic, u64>,
+    /// Tellings of a change that went from one zone to another.
+    pub crossings: usize,
+    pub attaches: usize,
+}
+
+impl World {
+    pub fn new(lives: impl IntoIterator<Item = u64>) -> World {
+        let teller = |zone| Teller { zone, lease: true, silent: false, dead: false };
+        let mut world = World {
+            ms: 0,
+            members: BTreeMap::new(),
+            tellers: (0..3).map(|number| (registrar_addr(number), teller(ZONES[number as usize]))).collect(),
+            news: topics().into_iter().map(|topic| (topic, 1)).collect(),
+            crossings: 0,
+            attaches: 0,
+        };
+        let lives: Vec<u64> = lives.into_iter().collect();
+        for life in &lives {
+            world.start(*life);
+        }
+        world.cut(&cut(1, lives));
+        world.run(2_000);
+        world
+    }
+
+    pub fn start(&mut self, life: u64) {
+        let mut homes = Homes::new(LifeId(life), zone(life), APPLY, HomesBounds::default(), life);
+        let names: Vec<String> = (0..12).map(|number| format!("service-{number}")).collect();
+        homes.services(names.iter().map(String::as_str));
+        let known = self
+            .tellers
+            .iter()
+            .map(|(addr, teller)| Registrar { addr: *addr, zone: teller.zone.to_string() });
+        homes.registrars(&known.collect::<Vec<_>>());
+        let (has, links) = (BTreeMap::new(), BTreeMap::new());
+        self.members.insert(life, Member { homes, has, silent: false, dead: false, links });
+    }
+
+    pub fn cut(&mut self, cut: &Cut) {
+        let now = millis(self.ms);
+        self.members
+            .values_mut()
+            .filter(|member| !member.silent)
+            .for_each(|member| member.homes.cut(now, cut));
+    }
+
+    /// The home of a topic in a zone.
+    pub fn home(&self, cut: &Cut, zone: &str, topic: &Topic) -> u64 {
+        cut.owner(Some(zone), &topic.key()).unwrap().life.0
+    }
+
+    pub fn change(&mut self, topic: &Topic) {
+        *self.news.get_mut(topic).unwrap() += 1;
+        self.crossings = 0;
+        let news = self.news[topic];
+        let tellers =
+            self.tellers.iter().filter(|(_, teller)| teller.lease && !teller.silent && !teller.dead);
+        let tellers: Vec<(SocketAddrV4, &str)> = tellers.map(|(addr, teller)| (*addr, teller.zone)).collect();
+        for (addr, from) in tellers {
+            for life in self.takers(What::Registrar, addr, topic) {
+                self.crossings += (zone(life) != from) as usize;
+                self.give(life, topic, news);
+            }
+        }
+    }
+
+    /// Runs on until all who live have all news; returns the milliseconds that took, or None after ten seconds.
+    pub fn spread(&mut self) -> Option<u64> {
+        let start = self.ms;
+        while !self.all_have_all() {
+            if self.ms - start > 10_000 {
+                return None;
+            }
+            self.run(STEP);
+        }
+        Some(self.ms - start)
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let pulses = Homes::pulse_every(APPLY).0 / 1_000_000 / STEP;
+        for _ in 0..ms.div_ceil(STEP) {
+            self.ms += STEP;
+            let now = millis(self.ms);
+            if (self.ms / STEP).is_multiple_of(pulses) {
+                self.beat(now);
+            }
+            for life in self.members.keys().copied().collect::<Vec<_>>() {
+                while let Some(order) = self.order(now, life) {
+                    self.obey(now, life, order);
+                }
+            }
+        }
+    }
+
+    fn all_have_all(&self) -> bool {
+        let mut live = self.members.values().filter(|member| !member.dead && !member.silent);
+        live.all(|member| member.has == self.news)
+    }
+
+    fn order(&mut self, now: Nanos, life: u64) -> Option<Order> {
+        let member = self.members.get_mut(&life)?;
+        if member.dead || member.silent { None } else { member.homes.next(now) }
+    }
+
+    fn beat(&mut self, now: Nanos) {
+        for (addr, teller) in &self.tellers {
+            if teller.silent || teller.dead {
+                continue;
+            }
+            let pulse = Pulse { lease: teller.lease, fence: Fence::of(1, 1), ..Pulse::default() };
+            for member in self.members.values_mut() {
+                if member.links.contains_key(&(What::Registrar, *addr)) && !member.silent {
+                    member.homes.pulse(now, *addr, What::Registrar, pulse);
+                }
+            }
+        }
+    }
+
+    fn takers(&self, what: What, addr: SocketAddrV4, topic: &Topic) -> Vec<u64> {
+        let takes =
+            |member: &Member| member.links.get(&(what, addr)).is_some_and(|topics| topics.contains(topic));
+        self.members.iter().filter(|(_, member)| takes(member)).map(|(life, _)| *life).collect()
+    }
+
+    /// News reaches a gateway, which passes it on.
+    fn give(&mut self, life: u64, topic: &Topic, news: u64) {
+        let Some(member) = self.members.get_mut(&life) else { return };
+        if member.dead || member.silent || member.has.get(topic).is_some_and(|has| *has >= news) {
+            return;
+        }
+        member.has.insert(topic.clone(), news);
+        let to: Vec<SocketAddrV4> = member.homes.subscribers(topic).collect();
+        let on: Vec<u64> =
+            self.members.keys().copied().filter(|life| to.contains(&gateway_addr(*life))).collect();
+        on.into_iter().for_each(|other| self.give(other, topic, news));
+    }
+
+    fn obey(&mut self, now: Nanos, life: u64, order: Order) {
+        let me = gateway_addr(life);
+        match order {
+            Order::Attach { addr, what, topics } => {
+                self.attaches += 1;
+                let has: BTreeMap<Topic, u64> = match what {
+                    What::Registrar => match self.tellers.get(&addr) {
+                        Some(teller) if !teller.dead => {
+                            if teller.silent || !teller.lease {
+                                BTreeMap::new()
+                            } else {
+                                self.news.clone()
+                            }
+                        }
+                        _ => return self.break_link(now, life, addr, what),
+                    },
+                    What::Home => {
+                        let at = self
+                            .members
+                            .values_mut()
+                            .find(|member| gateway_addr(member.homes_life()) == addr);
+                        match at {
+                            Some(home) if !home.dead => {
+                                home.homes.subscribed(me, topics.iter().cloned());
+                                if home.silent { BTreeMap::new() } else { home.has.clone() }
+                            }
+                            _ => return self.break_link(now, life, addr, what),
+                        }
+                    }
+                };
+                let links = &mut self.members.get_mut(&life).unwrap().links;
+                links.insert((what, addr), topics.iter().cloned().collect());
+                for topic in &topics {
+                    if let Some(news) = has.get(topic) {
+                        self.give(life, topic, *news);
+                    }
+                }
+            }
+            Order::Detach { addr, what } => {
+                self.members.get_mut(&life).unwrap().links.remove(&(what, addr));
+                if let Some(home) =
+                    self.members.values_mut().find(|home| gateway_addr(home.homes_life()) == addr)
+                {
+                    home.homes.subscribed(me, []);
+                }
+            }
+            Order::Relay { to, pulse } => {
+                for member in self.members.values_mut().filter(|member| !member.silent) {
+                    if to.contains(&gateway_addr(member.homes_life())) {
+                        member.homes.pulse(now, me, What::Home, pulse);
+                    }
+                }
+            }
+        }
+    }
+
+    fn break_link(&mut self, now: Nanos, life: u64, addr: SocketAddrV4, what: What) {
+        let member = self.members.get_mut(&life).unwrap();
+        member.links.remove(&(what, addr));
+        member.homes.lost(now, addr, what);
+    }
+
+    /// All links to an address break at once.
+    pub fn reset(&mut self, addr: SocketAddrV4) {
+        let now = millis(self.ms);
+        for life in self.members.keys().copied().collect::<Vec<_>>() {
+            for what in [What::Registrar, What::Home] {
+                if self.members[&life].links.contains_key(&(what, addr)) {
+                    self.break_link(now, life, addr, what);
+                }
+            }
+        }
+    }
+}
+
+impl Member {
+    fn homes_life(&self) -> u64 {
+        self.homes.life().0
+    }
+}
