Views: found a view, take changes on every disk, change the view by ballots

Members of a view store each change before it is taken; a majority of the last view's voters stops it, trims to the newest state and installs the next.

--- a/crates/fernknot-views/src/lib.rs
+++ b/crates/fernknot-views/src/lib.rs
@@ -2,6 +2,7 @@
 //! numbered views. No I/O and no clock: the host feeds what is heard and stored, and pulls orders
 //! with `next` until there is none. The rules and their reasons: docs/views.md.
 
+mod ballots;
 mod types;
 mod views;
 
--- /dev/null
+++ b/crates/fernknot-views/tests/common/mod.rs
@@ -0,0 +1,457 @@
+//! An in-memory fleet of registrars with seeded chance: late, lost and doubled words, crashes,
+//! emptied disks, replaced machines, one-way cuts, hanging and full disks. Every step checks what
+//! must hold always; the first break is kept in `broken`.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use fernknot::interface::Nanos;
+use fernknot_views::*;
+
+pub const MS: u64 = 1_000_000;
+pub const SUSPECT: u64 = 500 * MS;
+pub const PULSE: u64 = 100 * MS;
+
+pub fn addr(n: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, n), 7000)
+}
+
+pub struct Chance(pub u64);
+
+impl Chance {
+    pub fn draw(&mut self, below: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let z = (self.0 ^ (self.0 >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+        (z ^ (z >> 33)) % below.max(1)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Disk {
+    Well,
+    Hangs,
+    Full,
+}
+
+/// A machine: its disk outlives its process.
+pub struct Machine {
+    pub addr: SocketAddrV4,
+    pub id: MemberId,
+    pub saved: Option<Saved>,
+    pub disk: Disk,
+    pub views: Option<Views>,
+    pub life: u64,
+    pub frozen: bool,
+    held_writes: Vec<(Ticket, Saved)>,
+    told_full: bool,
+}
+
+#[derive(Debug)]
+enum Event {
+    Word { from: SocketAddrV4, to: SocketAddrV4, bytes: Vec<u8> },
+    Stored { at: usize, life: u64, ticket: Ticket, saved: Box<Saved> },
+    Wake { at: usize, life: u64 },
+}
+
+pub struct Fleet {
+    pub now: u64,
+    pub chance: Chance,
+    pub plant: Option<Plant>,
+    pub machines: Vec<Machine>,
+    pub founders: Vec<SocketAddrV4>,
+    pub losses: usize,
+    /// In a thousand.
+    pub lose: u64,
+    pub double: u64,
+    pub late: u64,
+    pub cuts: BTreeSet<(SocketAddrV4, SocketAddrV4)>,
+    queue: BinaryHeap<(std::cmp::Reverse<(u64, u64)>, u64)>,
+    events: BTreeMap<u64, Event>,
+    serial: u64,
+    ids: u64,
+    pub proposals: BTreeMap<u64, Vec<u8>>,
+    pub taken: BTreeMap<u64, OrderNo>,
+    pub refused: BTreeSet<u64>,
+    /// What was delivered at each order number, anywhere.
+    pub states: BTreeMap<u64, Arc<[u8]>>,
+    pub views: BTreeMap<u64, View>,
+    pub words: u64,
+    pub syncs: u64,
+    pub broken: Option<String>,
+}
+
+impl Fleet {
+    pub fn new(seed: u64, machines: u8, founders: u8, losses: usize, plant: Option<Plant>) -> Fleet {
+        let mut fleet = Fleet {
+            now: MS,
+            chance: Chance(seed.wrapping_mul(2).wrapping_add(1)),
+            plant,
+            machines: Vec::new(),
+            founders: (1..=founders).map(addr).collect(),
+            losses,
+            lose: 0,
+            double: 0,
+            late: 0,
+            cuts: BTreeSet::new(),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            serial: 0,
+            ids: 0,
+            proposals: BTreeMap::new(),
+            taken: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            states: BTreeMap::new(),
+            views: BTreeMap::new(),
+            words: 0,
+            syncs: 0,
+            broken: None,
+        };
+        for n in 1..=machines {
+            fleet.add(addr(n), true);
+        }
+        fleet
+    }
+
+    /// A machine with an empty disk.
+    pub fn add(&mut self, addr: SocketAddrV4, bootstrap: bool) -> usize {
+        self.ids += 1;
+        self.machines.push(Machine {
+            addr,
+            id: MemberId(self.ids),
+            saved: None,
+            disk: Disk::Well,
+            views: None,
+            life: 0,
+            frozen: false,
+            held_writes: Vec::new(),
+            told_full: false,
+        });
+        let at = self.machines.len() - 1;
+        self.start(at, bootstrap);
+        at
+    }
+
+    pub fn start(&mut self, at: usize, bootstrap: bool) {
+        let seed = self.chance.draw(u64::MAX);
+        let machine = &mut self.machines[at];
+        machine.life += 1;
+        machine.frozen = false;
+        machine.told_full = false;
+        let facts = ViewFacts {
+            me: Member { id: machine.id, addr: machine.addr, zone: format!("z{at}") },
+            founders: self.founders.clone(),
+            bootstrap,
+            losses: self.losses,
+            suspect_after: Nanos(SUSPECT),
+            pulse_every: Nanos(PULSE),
+            lease: Nanos(4 * PULSE),
+        };
+        // What lies on disk goes through bytes, as with a real host.
+        let saved = machine.saved.as_ref().map(|saved| bitcode::decode(&bitcode::encode(saved)).unwrap());
+        machine.views = Some(Views::planted(seed, facts, saved, Nanos(self.now), self.plant));
+        self.serve(at);
+    }
+
+    /// The process dies; a write under way may be on disk or not.
+    pub fn kill(&mut self, at: usize) {
+        let mut under_way: Vec<Saved> = self
+            .events
+            .values()
+            .filter_map(|event| match event {
+                Event::Stored { at: whose, life, saved, .. }
+                    if *whose == at && *life == self.machines[at].life =>
+                {
+                    Some((**saved).clone())
+                }
+                _ => None,
+            })
+            .collect();
+        let machine = &mut self.machines[at];
+        if machine.disk == Disk::Hangs {
+            under_way.extend(machine.held_writes.drain(..).map(|(_, saved)| saved));
+        }
+        machine.held_writes.clear();
+        machine.views = None;
+        machine.life += 1;
+        if let Some(saved) = under_way.pop()
+            && self.chance.draw(2) == 0
+        {
+            self.machines[at].saved = Some(saved);
+        }
+    }
+
+    pub fn wipe(&mut self, at: usize) {
+        self.kill(at);
+        self.ids += 1;
+        self.machines[at].saved = None;
+        self.machines[at].id = MemberId(self.ids);
+    }
+
+    pub fn restart(&mut self, at: usize) {
+        if self.machines[at].views.is_none() {
+            self.start(at, false);
+        }
+    }
+
+    pub fn disk(&mut self, at: usize, disk: Disk) {
+        let was = std::mem::replace(&mut self.machines[at].disk, disk);
+        if was == disk {
+            return;
+        }
+        let held: Vec<_> = self.machines[at].held_writes.drain(..).collect();
+        let now = Nanos(self.now);
+        for (ticket, saved) in held {
+            let ok = disk == Disk::Well;
+            if ok {
+                self.machines[at].saved = Some(saved);
+            }
+            if let Some(views) = &mut self.machines[at].views {
+                views.stored(now, ticket, ok);
+            }
+        }
+        if let Some(views) = &mut self.machines[at].views {
+            views.disk_ok(now, disk == Disk::Well);
+        }
+        self.serve(at);
+    }
+
+    fn push(&mut self, after: u64, event: Event) {
+        self.serial += 1;
+        self.queue.push((std::cmp::Reverse((self.now + after, self.serial)), self.serial));
+        self.events.insert(self.serial, event);
+    }
+
+    fn break_rule(&mut self, what: String) {
+        self.broken.get_or_insert(what);
+    }
+
+    /// Carries out what the register at this machine orders.
+    pub fn serve(&mut self, at: usize) {
+        loop {
+            let now = Nanos(self.now);
+            if self.machines[at].frozen {
+                return;
+            }
+            let before =
+                self.machines[at].views.as_ref().and_then(|views| views.delivered()).map(|(no, _)| no);
+            let Some(order) = self.machines[at].views.as_mut().and_then(|views| views.next(now)) else {
+                return;
+            };
+            let life = self.machines[at].life;
+            match order {
+                Order::Say { to, word } => {
+                    self.words += 1;
+                    let from = self.machines[at].addr;
+                    let bytes = bitcode::encode(&word);
+                    let times = if self.chance.draw(1000) < self.double { 2 } else { 1 };
+                    for _ in 0..times {
+                        if self.chance.draw(1000) < self.lose || self.cuts.contains(&(from, to)) {
+                            continue;
+                        }
+                        let mut after = MS / 2 + self.chance.draw(MS);
+                        if self.chance.draw(1000) < self.late {
+                            after += self.chance.draw(2 * SUSPECT);
+                        }
+                        self.push(after, Event::Word { from, to, bytes: bytes.clone() });
+                    }
+                }
+                Order::Store { ticket, saved } => {
+                    self.syncs += 1;
+                    match self.machines[at].disk {
+                        Disk::Well => {
+                            let after = MS + self.chance.draw(4 * MS);
+                            self.push(after, Event::Stored { at, life, ticket, saved: Box::new(saved) });
+                        }
+                        Disk::Hangs => self.machines[at].held_writes.push((ticket, saved)),
+                        Disk::Full => {
+                            if let Some(views) = &mut self.machines[at].views {
+                                views.stored(now, ticket, false);
+                            }
+                        }
+                    }
+                }
+                Order::Deliver { view, no, state } => {
+                    if before.is_some_and(|before| before > no) {
+                        self.break_rule(format!("machine {at} went back from {before:?} to {no:?}"));
+                    }
+                    let known = self.states.entry(no.0).or_insert_with(|| state.clone());
+                    if *known != state {
+                        let what = format!("two states at {no:?} (machine {at}, {view:?})");
+                        self.break_rule(what);
+                    }
+                    // What was acknowledged is in every state after: states are lists of proposals.
+                    let newest = self.taken.values().copied().max().unwrap_or_default();
+                    for (proposal, taken) in &self.taken {
+                        let of = self.proposals[proposal].clone();
+                        if *taken == no && of != state[..] {
+                            let what = format!("acknowledged {proposal} is not what {no:?} holds");
+                            self.broken.get_or_insert(what);
+                        }
+                    }
+                    // A member that enters a view begins with all that was acknowledged before.
+                    let entered = self.views.get(&view.0).is_some();
+                    if entered && self.views.keys().next_back() == Some(&view.0) && no < newest {
+                        let first = self.machines[at].views.as_ref().is_some_and(|v| v.is_sequencer());
+                        if first {
+                            let what = format!("{view:?} goes on from {no:?}, acknowledged was {newest:?}");
+                            self.break_rule(what);
+                        }
+                    }
+                }
+                Order::Taken { proposal, no } => {
+                    self.taken.insert(proposal, no);
+                    let of: Arc<[u8]> = self.proposals[&proposal].clone().into();
+                    let known = self.states.entry(no.0).or_insert_with(|| of.clone());
+                    if *known != of {
+                        self.break_rule(format!("acknowledged {proposal} at {no:?} in place of another"));
+                    }
+                    if self.refused.contains(&proposal) {
+                        self.break_rule(format!("{proposal} was refused and taken"));
+                    }
+                }
+                Order::Refused { proposal } => {
+                    self.refused.insert(proposal);
+                    if self.taken.contains_key(&proposal) {
+                        self.break_rule(format!("{proposal} was taken and refused"));
+                    }
+                }
+                Order::Entered { view } => {
+                    let known = self.views.entry(view.no.0).or_insert_with(|| view.clone());
+                    if *known != view {
+                        let what = format!("two views {:?}", view.no);
+                        self.break_rule(what);
+                    }
+                }
+                Order::Left => {}
+                Order::Wake { after } => self.push(after.0 + 1000, Event::Wake { at, life }),
+            }
+        }
+    }
+
+    /// Plays on for this long.
+    pub fn play(&mut self, span: u64) {
+        let end = self.now + span;
+        while let Some((std::cmp::Reverse((when, _)), _)) = self.queue.peek() {
+            if *when > end {
+                break;
+            }
+            let (std::cmp::Reverse((when, serial)), _) = self.queue.pop().unwrap();
+            self.now = when;
+            let Some(event) = self.events.remove(&serial) else { continue };
+            self.happen(event);
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = Nanos(self.now);
+        match event {
+            Event::Word { from, to, bytes } => {
+                let Some(at) = self.machines.iter().position(|machine| machine.addr == to) else { return };
+                if self.machines[at].frozen {
+                    return self.push(50 * MS, Event::Word { from, to, bytes });
+                }
+                if let Some(views) = &mut self.machines[at].views {
+                    views.heard(now, from, bitcode::decode(&bytes).unwrap());
+                    self.serve(at);
+                }
+            }
+            Event::Stored { at, life, ticket, saved } => {
+                if self.machines[at].life != life {
+                    return;
+                }
+                if self.machines[at].frozen {
+                    return self.push(50 * MS, Event::Stored { at, life, ticket, saved });
+                }
+                if self.machines[at].disk == Disk::Hangs {
+                    return self.machines[at].held_writes.push((ticket, *saved));
+                }
+                let ok = self.machines[at].disk == Disk::Well;
+                if ok {
+                    self.machines[at].saved = Some(*saved);
+                }
+                if let Some(views) = &mut self.machines[at].views {
+                    views.stored(now, ticket, ok);
+                }
+                self.serve(at);
+            }
+            Event::Wake { at, life } => {
+                if self.machines[at].life == life {
+                    if self.machines[at].frozen {
+                        return self.push(50 * MS, Event::Wake { at, life });
+                    }
+                    self.serve(at);
+                }
+            }
+        }
+    }
+
+    pub fn sequencer(&self) -> Option<usize> {
+        let leads = |machine: &Machine| machine.views.as_ref().is_some_and(|views| views.is_sequencer());
+        let newest =
+            |at: &usize| self.machines[*at].views.as_ref().and_then(|v| v.view()).map(|view| view.no);
+        (0..self.machines.len()).filter(|at| leads(&self.machines[*at])).max_by_key(newest)
+    }
+
+    /// Proposes at every machine that thinks it leads; each state has the proposal's number in it.
+    pub fn propose(&mut self) -> Option<u64> {
+        let mut last = None;
+        for at in 0..self.machines.len() {
+            let frozen = self.machines[at].frozen;
+            let Some(views) = &mut self.machines[at].views else { continue };
+            if !views.is_sequencer() || frozen {
+                continue;
+            }
+            let Some((base, _)) = views.delivered() else { continue };
+            let proposal = self.proposals.len() as u64 + 1;
+            let state = proposal.to_be_bytes().to_vec();
+            self.proposals.insert(proposal, state.clone());
+            views.propose(Nanos(self.now), proposal, base, state);
+            last = Some(proposal);
+            self.serve(at);
+        }
+        last
+    }
+
+    /// Ends all faults that are within the losses to be borne.
+    pub fn heal(&mut self) {
+        (self.lose, self.double, self.late) = (0, 0, 0);
+        self.cuts.clear();
+        for at in 0..self.machines.len() {
+            self.machines[at].frozen = false;
+            self.disk(at, Disk::Well);
+            self.restart(at);
+        }
+    }
+
+    /// Whether a new proposal is taken within this long; tells how long it took.
+    pub fn goes_on(&mut self, within: u64) -> Option<u64> {
+        let begin = self.now;
+        let mut tried = Vec::new();
+        while self.now - begin < within {
+            tried.extend(self.propose());
+            self.play(10 * MS);
+            if tried.iter().any(|proposal| self.taken.contains_key(proposal)) {
+                return Some(self.now - begin);
+            }
+        }
+        None
+    }
+
+    /// All that live have delivered the same newest state, and are in one view.
+    pub fn agree(&self) -> bool {
+        let mut seen = BTreeSet::new();
+        for views in self.machines.iter().filter_map(|machine| machine.views.as_ref()) {
+            seen.insert((views.view().map(|view| view.no), views.delivered().map(|(no, _)| no)));
+        }
+        seen.len() == 1 && seen.iter().all(|(view, no)| view.is_some() && no.is_some())
+    }
+
+    pub fn members(&self) -> Vec<MemberId> {
+        let leader = self.sequencer().and_then(|at| self.machines[at].views.as_ref());
+        let view = leader.and_then(|views| views.view());
+        view.map(|view| view.members.iter().map(|member| member.id).collect()).unwrap_or_default()
+    }
+}
