Name services in what a listener wants, and let homes tell who lives below them

Cause: homes work out their topics themselves, and gateways below a home have no stream to a registrar, so nobody would count them as alive. Change: Share::Services, Inward::Below.

--- a/crates/fernknot-conduit/src/words.rs
+++ b/crates/fernknot-conduit/src/words.rs
@@ -7,15 +7,15 @@
 use fernknot_registry::NodeFact;
 use std::net::SocketAddrV4;
 
-/// Which news a listener wants of a teller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+/// Which news a listener wants of a teller. Configurations, cuts and pulses come with either. (The listener
+/// works out of which services it is home; the teller only filters by what is named here. Said again over the
+/// same connection, it replaces what was said before; the teller then tells those services whole.)
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum Share {
-    /// All topics.
+    /// The nodes of all services.
     All,
-    /// The topics whose home in its zone the listener is by the cut under this fence.
-    Own { fence: u64 },
-    /// The topics whose home the teller is by the cut under this fence.
-    Yours { fence: u64 },
+    /// The nodes of these services, by name.
+    Services(Vec<String>),
 }
 
 /// Said by who opens a connection to an inner port.
@@ -25,6 +25,9 @@
     Attach { who: Gateway, ready: bool, share: Share, order: u64 },
     /// Said now and then over a stream of news: the listener lives.
     Alive { ready: bool },
+    /// Said with `Alive` by a home: the gateways that live and listen to it, and to no registrar. For a registrar
+    /// each counts as if it had said `Alive` itself.
+    Below(Vec<Gateway>),
     /// The listener is about to stop by order.
     Leaving,
     /// Between registrars.
