--- a/crates/fernknot-intake/src/lib.rs
+++ b/crates/fernknot-intake/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`routes`] | host and path of a request, by the routes of a plan |
 
 pub mod beat;
+mod paper;
 pub mod plan;
 pub mod process;
 pub mod routes;
--- /dev/null
+++ b/crates/fernknot-intake/src/paper.rs
@@ -0,0 +1,184 @@
+//! The operator's configuration as it stands in the JSON, read with `schematic`: its loader takes
+//! a string without any file, gives defaults, passes unknown keys and collects what is wrong with
+//! single settings. What concerns several settings at once is checked in [`crate::plan`].
+//!
+//! Its reader of JSON also takes comments; [`crate::plan`] reads the bytes strictly beforehand.
+
+use schematic::{Config, ConfigError, ConfigLoader, Schematic, ValidateError, ValidateResult};
+use serde::{Deserialize, Deserializer, Serialize, de};
+
+use crate::plan::{Class, ClientLimits};
+use crate::walk::Fault;
+
+/// A number of 0 or more that may come as `600` or as `600.0`; a fraction is rounded up, so that a
+/// short time never turns into none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub(crate) struct Whole(pub u64);
+
+impl Schematic for Whole {}
+
+impl<'de> Deserialize<'de> for Whole {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Whole, D::Error> {
+        struct Number;
+        impl de::Visitor<'_> for Number {
+            type Value = Whole;
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("a number of 0 or more")
+            }
+            fn visit_u64<E: de::Error>(self, number: u64) -> Result<Whole, E> {
+                Ok(Whole(number))
+            }
+            fn visit_i64<E: de::Error>(self, number: i64) -> Result<Whole, E> {
+                u64::try_from(number).map(Whole).map_err(|_| E::custom("is below 0"))
+            }
+            fn visit_f64<E: de::Error>(self, number: f64) -> Result<Whole, E> {
+                match number >= 0.0 && number < u64::MAX as f64 {
+                    true => Ok(Whole(number.ceil() as u64)),
+                    false => Err(E::custom("is below 0 or too large")),
+                }
+            }
+        }
+        from.deserialize_any(Number)
+    }
+}
+
+#[derive(Config, Debug)]
+#[config(allow_unknown_fields)]
+pub(crate) struct Paper {
+    #[setting(required)]
+    pub epoch: Option<Whole>,
+    #[setting(nested, required)]
+    pub routes: Option<Vec<PaperRoute>>,
+    #[setting(nested, required)]
+    pub backends: Option<Vec<PaperService>>,
+    #[setting(nested)]
+    pub limits: PaperLimits,
+}
+
+#[derive(Config, Debug)]
+#[config(allow_unknown_fields)]
+pub(crate) struct PaperRoute {
+    pub name: String,
+    #[setting(required)]
+    pub authority: Option<String>,
+    #[setting(required, validate = between_slashes)]
+    pub path_prefix: Option<String>,
+    pub traffic_class: Option<PaperClass>,
+    #[setting(validate = not_nothing)]
+    pub deadline_ms: Option<Whole>,
+    pub target_ms: Option<Whole>,
+    pub rank: Whole,
+    pub backend: Option<String>,
+    #[setting(nested)]
+    pub shares: Option<Vec<PaperShare>>,
+    pub fanout: Option<Vec<String>>,
+    pub top_k: Option<Whole>,
+    #[setting(validate = a_share)]
+    pub quorum: Option<f64>,
+    pub tries: Option<Whole>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum PaperClass {
+    Idempotent,
+    #[default]
+    Mutating,
+}
+
+#[derive(Config, Debug)]
+#[config(allow_unknown_fields)]
+pub(crate) struct PaperShare {
+    #[setting(required)]
+    pub backend: Option<String>,
+    #[setting(required, validate = a_weight)]
+    pub weight: Option<f64>,
+}
+
+#[derive(Config, Debug)]
+#[config(allow_unknown_fields)]
+pub(crate) struct PaperService {
+    #[setting(required)]
+    pub name: Option<String>,
+    #[setting(default = "/health")]
+    pub probe_path: String,
+    pub max_conns: Option<Whole>,
+    #[setting(default = "h1")]
+    pub protocol: String,
+    pub tls: bool,
+}
+
+#[derive(Config, Debug)]
+#[config(allow_unknown_fields)]
+pub(crate) struct PaperLimits {
+    pub header_bytes: Option<Whole>,
+    pub body_bytes: Option<Whole>,
+    pub header_ms: Option<Whole>,
+    pub idle_ms: Option<Whole>,
+}
+
+impl PaperLimits {
+    pub(crate) fn read(&self) -> ClientLimits {
+        let absent = ClientLimits::default();
+        let or = |given: Option<Whole>, absent| given.map_or(absent, |given| given.0);
+        ClientLimits {
+            header_bytes: or(self.header_bytes, absent.header_bytes),
+            body_bytes: or(self.body_bytes, absent.body_bytes),
+            header_ms: or(self.header_ms, absent.header_ms),
+            idle_ms: or(self.idle_ms, absent.idle_ms),
+        }
+    }
+}
+
+impl Schematic for PaperClass {}
+
+impl From<PaperClass> for Class {
+    fn from(class: PaperClass) -> Class {
+        match class {
+            PaperClass::Idempotent => Class::Idempotent,
+            PaperClass::Mutating => Class::Mutating,
+        }
+    }
+}
+
+fn between_slashes<D, C>(prefix: &str, _: &D, _: &C, _: bool) -> ValidateResult {
+    match prefix.starts_with('/') && prefix.ends_with('/') {
+        true => Ok(()),
+        false => Err(ValidateError::new("does not begin and end with a slash")),
+    }
+}
+
+fn not_nothing<D, C>(number: &Whole, _: &D, _: &C, _: bool) -> ValidateResult {
+    if number.0 == 0 { Err(ValidateError::new("is 0")) } else { Ok(()) }
+}
+
+fn a_share<D, C>(share: &f64, _: &D, _: &C, _: bool) -> ValidateResult {
+    match (0.0..=1.0).contains(share) {
+        true => Ok(()),
+        false => Err(ValidateError::new("is not from 0 to 1")),
+    }
+}
+
+fn a_weight<D, C>(weight: &f64, _: &D, _: &C, _: bool) -> ValidateResult {
+    match *weight >= 0.0 && weight.is_finite() {
+        true => Ok(()),
+        false => Err(ValidateError::new("is below 0")),
+    }
+}
+
+/// Reads the text, which is known to be JSON.
+pub(crate) fn load(text: &str) -> Result<Paper, Vec<Fault>> {
+    let mut loader = ConfigLoader::<Paper>::new();
+    let loaded = loader.code(text, "plan.json").and_then(|loader| loader.load());
+    loaded.map(|loaded| loaded.config).map_err(faults)
+}
+
+fn faults(error: ConfigError) -> Vec<Fault> {
+    match error {
+        ConfigError::Validator { error, .. } => {
+            error.errors.iter().map(|error| Fault::new(error.path.to_string(), &*error.message)).collect()
+        }
+        ConfigError::Parser { error, .. } => vec![Fault::new(error.path, error.message)],
+        error => vec![Fault::new("", error.to_string())],
+    }
+}
--- a/crates/fernknot-intake/src/plan.rs
+++ b/crates/fernknot-intake/src/plan.rs
@@ -1,9 +1,20 @@
 //! The operator's configuration: routes, services and what clients may send.
 
+use std::collections::HashSet;
+
 use bitcode::{Decode, Encode};
+use serde_json::Value;
+use xxhash_rust::xxh3::Xxh3;
 
+use crate::paper::{self, PaperRoute, PaperService};
+use crate::routes::bare_host;
 use crate::walk::Fault;
 
+/// What stands for settings that a configuration leaves out.
+const ABSENT_DEADLINE_MS: u64 = 10_000;
+const ABSENT_MAX_CONNS: u32 = 32;
+const ABSENT_TOP_K: usize = 100;
+
 /// One version of the configuration, whole.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Plan {
@@ -80,13 +91,46 @@
 }
 
 impl Plan {
-    /// Reads and checks a configuration.
+    /// Reads and checks a configuration. Unknown keys pass, and what PROTOCOL does not forbid is not
+    /// refused: a valid version that is turned away costs a duty.
     ///
     /// # Errors
     ///
     /// What makes it invalid; the call wants a 400.
-    pub fn read(_bytes: &[u8]) -> Result<Plan, Vec<Fault>> {
-        Err(vec![Fault::new("", "not read yet")])
+    pub fn read(bytes: &[u8]) -> Result<Plan, Vec<Fault>> {
+        let whole =
+            |why: &dyn std::fmt::Display| vec![Fault::new("", format!("cannot be read whole: {why}"))];
+        // Strict first: what `schematic` reads may hold comments and trailing commas.
+        serde_json::from_slice::<serde::de::IgnoredAny>(bytes).map_err(|error| whole(&error))?;
+        let text = std::str::from_utf8(bytes).map_err(|error| whole(&error))?;
+        let paper = paper::load(text)?;
+
+        let mut faults = Vec::new();
+        let services = services(paper.backends.unwrap_or_default(), &mut faults);
+        let known: HashSet<&str> = services.iter().map(|service| service.name.as_str()).collect();
+        let mut taken = HashSet::new();
+        let mut routes = Vec::new();
+        for (at, route) in paper.routes.unwrap_or_default().into_iter().enumerate() {
+            let place = format!("routes[{at}]");
+            let route = read_route(route, &place, &mut faults);
+            for name in route.to.services().filter(|name| !known.contains(name)) {
+                faults.push(Fault::new(&place, format!("names the unknown service {name:?}")));
+            }
+            let host = bare_host(&route.authority).to_ascii_lowercase();
+            if !taken.insert((host, route.path_prefix.clone())) {
+                faults.push(Fault::new(&place, "has the host and prefix of another route"));
+            }
+            routes.push(route);
+        }
+        match faults.is_empty() {
+            true => Ok(Plan {
+                epoch: paper.epoch.map_or(0, |epoch| epoch.0),
+                routes,
+                services,
+                limits: paper.limits.read(),
+            }),
+            false => Err(faults),
+        }
     }
 
     /// A version follows only a lower one.
@@ -102,7 +146,146 @@
     }
 }
 
-/// A hash of a body by its JSON value: order of keys, spaces and the spelling of numbers aside.
+impl Target {
+    /// Every service that requests may be sent to, in the order given.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let (one, shares, shards) = match self {
+            Target::Backend(name) => (Some(name), &[][..], &[][..]),
+            Target::Shares(shares) => (None, &shares[..], &[][..]),
+            Target::Fanout { shards, .. } => (None, &[][..], &shards[..]),
+        };
+        let shares = shares.iter().map(|(name, _)| name);
+        one.into_iter().chain(shares).chain(shards).map(String::as_str)
+    }
+}
+
+fn services(papers: Vec<PaperService>, faults: &mut Vec<Fault>) -> Vec<Service> {
+    let mut taken = HashSet::new();
+    let mut services = Vec::with_capacity(papers.len());
+    for (at, paper) in papers.into_iter().enumerate() {
+        let name = paper.name.unwrap_or_default();
+        if !taken.insert(name.clone()) {
+            let why = format!("has the name of another service, {name:?}");
+            faults.push(Fault::new(format!("backends[{at}]"), why));
+        }
+        services.push(Service {
+            name,
+            probe_path: paper.probe_path,
+            max_conns: paper.max_conns.map_or(ABSENT_MAX_CONNS, |conns| small(conns.0)),
+            protocol: paper.protocol,
+            tls: paper.tls,
+        });
+    }
+    services
+}
+
+fn read_route(paper: PaperRoute, place: &str, faults: &mut Vec<Fault>) -> Route {
+    let to = if let Some(shards) = paper.fanout {
+        let mut taken = HashSet::new();
+        if shards.is_empty() {
+            faults.push(Fault::new(place, "has a fanout of no service"));
+        }
+        if !shards.iter().all(|shard| taken.insert(shard.as_str())) {
+            faults.push(Fault::new(place, "has a fanout that names a service twice"));
+        }
+        let top_k = paper.top_k.map_or(ABSENT_TOP_K, |top_k| small(top_k.0) as usize);
+        Target::Fanout { shards, top_k, quorum: paper.quorum.unwrap_or(0.0) }
+    } else if let Some(shares) = paper.shares {
+        let shares: Vec<(String, f64)> = shares
+            .into_iter()
+            .map(|share| (share.backend.unwrap_or_default(), share.weight.unwrap_or(0.0)))
+            .collect();
+        let sum: f64 = shares.iter().map(|(_, weight)| weight).sum();
+        if sum <= 0.0 || !sum.is_finite() {
+            faults.push(Fault::new(place, "has weights that add up to 0"));
+        }
+        Target::Shares(shares)
+    } else {
+        if paper.backend.is_none() {
+            faults.push(Fault::new(place, "names no service"));
+        }
+        Target::Backend(paper.backend.unwrap_or_default())
+    };
+    // What is gathered may be repeated whatever the class says; without a word on it nothing may.
+    let traffic_class = match (&to, paper.traffic_class) {
+        (Target::Fanout { .. }, _) => Class::Idempotent,
+        (_, class) => class.unwrap_or_default().into(),
+    };
+    let deadline_ms = paper.deadline_ms.map_or(ABSENT_DEADLINE_MS, |ms| ms.0);
+    Route {
+        name: paper.name,
+        authority: paper.authority.unwrap_or_default(),
+        path_prefix: paper.path_prefix.unwrap_or_default(),
+        traffic_class,
+        deadline_ms,
+        target_ms: paper.target_ms.map_or(deadline_ms, |ms| ms.0),
+        rank: small(paper.rank.0),
+        to,
+        tries: small(paper.tries.map_or(1, |tries| tries.0)).max(1),
+    }
+}
+
+fn small(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+/// A hash of a body by its JSON value: order of keys, spaces and the spelling of numbers aside. A
+/// body that is no JSON is hashed as it stands. The same on every machine and in every life.
 pub fn digest(bytes: &[u8]) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(bytes)
+    let mut hash = Xxh3::new();
+    match serde_json::from_slice::<Value>(bytes) {
+        Ok(value) => feed(&mut hash, &value),
+        Err(_) => {
+            hash.update(b"!");
+            hash.update(bytes);
+        }
+    }
+    hash.digest()
+}
+
+fn feed(hash: &mut Xxh3, value: &Value) {
+    let text = |hash: &mut Xxh3, text: &str| {
+        hash.update(b"s");
+        hash.update(&(text.len() as u64).to_le_bytes());
+        hash.update(text.as_bytes());
+    };
+    match value {
+        Value::Null => hash.update(b"n"),
+        Value::Bool(flag) => hash.update(if *flag { b"t" } else { b"f" }),
+        Value::String(string) => text(hash, string),
+        Value::Number(number) => {
+            // 600 and 600.0 are one number.
+            let float = number.as_f64().unwrap_or(f64::NAN);
+            let whole = match number.as_i128() {
+                Some(whole) => Some(whole),
+                None => (float.fract() == 0.0 && float.abs() < 2f64.powi(63)).then_some(float as i128),
+            };
+            match whole {
+                Some(whole) => {
+                    hash.update(b"i");
+                    hash.update(&whole.to_le_bytes());
+                }
+                None => {
+                    hash.update(b"d");
+                    hash.update(&float.to_bits().to_le_bytes());
+                }
+            }
+        }
+        Value::Array(items) => {
+            hash.update(b"a");
+            hash.update(&(items.len() as u64).to_le_bytes());
+            items.iter().for_each(|item| feed(hash, item));
+        }
+        Value::Object(map) => {
+            // Sorted here: whether the map is sorted depends on what else is built.
+            let mut entries: Vec<(&String, &Value)> = map.iter().collect();
+            entries.sort_unstable_by_key(|(key, _)| *key);
+            hash.update(b"o");
+            hash.update(&(entries.len() as u64).to_le_bytes());
+            for (key, value) in entries {
+                text(hash, key);
+                feed(hash, value);
+            }
+        }
+    }
 }
