--- a/crates/fernknot-conduit/src/words.rs
+++ b/crates/fernknot-conduit/src/words.rs
@@ -77,8 +77,9 @@
     Nodes(Vec<NodeFact>),
     /// All that the teller holds has been told.
     Whole,
-    /// Said every so often: who tells, how far it is, and whether it hears a majority of its view.
-    Pulse { teller: u64, order: u64, lease: bool, registrars: Vec<Registrar>, gateways: u32 },
+    /// Said every so often: who tells, how far it is, and whether it hears a majority of its view. `hops` counts
+    /// the gateways that passed it on; a registrar says 0.
+    Pulse { teller: u64, order: u64, lease: bool, hops: u8, registrars: Vec<Registrar>, gateways: u32 },
     Cut(Cut),
     /// The answer to an operator's question, for a person to read.
     Answer(String),
