Split the decision module into a file for each concern

It is now src/decide/, with learn, answer, admission, further, limits, choice and copies; each rule and constant stands in the file of its concern, and the plain structs Router and Offer stand with the other containers. Nothing else moved: apart from module lines and visibility the lines are the same.

--- /dev/null
+++ b/src/decide/admission.rs
@@ -0,0 +1,102 @@
+//! What is taken on, and what is dismissed before any of it is sent.
+
+use super::*;
+
+/// The share of a goal time that the delay may fill: at the best earnings, the least, beyond a share.
+const FILL_BEST: f64 = 0.65;
+const FILL_LEAST: f64 = 0.5;
+const FILL_BEYOND: f64 = 0.33;
+/// A multiget that would touch more than this share of the nodes at once is tried with one part first
+/// while the delay so made fills less than this share of its goal time.
+const WIDE: f64 = 0.5;
+const EASY: f64 = 0.4;
+/// While the delay that multigets meet fills more than this share of the goal time in the mean, and that of
+/// a second phase as much of what is left, its estimate over all parts must reach the target.
+const CROWDED: f64 = 0.2;
+/// At any other time a second phase is refused only if it is likelier to fail than not.
+const LIKELY: f64 = 0.5;
+
+impl Router {
+    /// The first look at a multiget: where its parts would go and how long they take. What cannot be in time
+    /// is dismissed before any is sent, sooner where it earns little or its customer is beyond its share.
+    pub(super) fn admit(&mut self, now: Nanos, id: MultigetId) -> bool {
+        let Some(multiget) = self.open.get_mut(&id) else { return false };
+        multiget.fresh = false;
+        let (use_case, customer, second) = (multiget.use_case, multiget.customer, multiget.step_from > 0);
+        let left = multiget.aim_end - now;
+        let (facts, opened, rest) = (multiget.second, multiget.opened, multiget.until - now);
+        let parts = multiget.step().to_vec();
+        self.use_cases[use_case.0].work.add(parts.iter().map(|part| part.size).sum(), SIZE_GAIN);
+        let mut planned = BTreeMap::new();
+        let mut offers = Vec::new();
+        for part in &parts {
+            let offer = self.choose(now, part, left, &planned);
+            if let Some(offer) = offer {
+                *planned.entry(offer.node).or_insert(0.0) += part.size;
+            }
+            offers.push((offer.map_or(Nanos(u64::MAX), |offer| offer.delay), offer, part));
+        }
+        offers.sort_by_key(|(delay, _, part)| (*delay, part.id));
+        let case = &self.use_cases[use_case.0];
+        // The delay by which enough of the parts would be in for an answer.
+        let mut reached = opened.map_or(0.0, |step| step.base) + ROUNDING;
+        let enough = offers.iter().position(|(_, _, part)| {
+            reached += part.weight;
+            reached >= case.floor
+        });
+        let enough = &offers[..enough.map_or(offers.len(), |last| last + 1)];
+        let delay = enough.last().map_or(Nanos(0), |(delay, _, _)| *delay);
+        // Guards against a second phase that is likelier late than not, and where all is slow against one
+        // that is not likely enough in time: it is refused before any of it is sent.
+        let chance: f64 = enough.iter().map(|(_, offer, _)| offer.map_or(0.0, |offer| offer.phi)).product();
+        let crowded = self.met.get() > Some(CROWDED) && delay > rest.times(CROWDED);
+        let level = if crowded { TARGET } else { LIKELY };
+        let needs = opened.and_then(|step| step.needs);
+        if needs.is_some_and(|needs| delay.max(needs) > rest || chance < level) {
+            self.shed_at = Some(now);
+            self.give_up(now, id);
+            return false;
+        }
+        // What second phases were promised stands before all that is new. Guards against cheap first phases.
+        let own = facts.map_or(0.0, |facts| {
+            facts.parts * self.size_of(case, facts.effort.map(|effort| (effort.0.max(1) as f64).ln()))
+        });
+        let usual = self.pace.get().unwrap_or_default();
+        let ahead = Nanos((usual * self.promised / self.nodes.len().max(1) as f64) as u64);
+        let delay = if second { delay } else { delay + ahead };
+        let by_work = self.by_work.then_some(1.0);
+        let yields = |case: &UseCase| by_work.or(case.work.get()).map_or(0.0, |work| case.earnings / work);
+        let best = self.use_cases.iter().map(yields).fold(f64::MIN_POSITIVE, f64::max);
+        let fill = FILL_LEAST + (FILL_BEST - FILL_LEAST) * yields(case) / best;
+        // What is dismissed draws nothing from its customer's share. Guards repeats from passing for a flood.
+        let share = self.shares.get_mut(customer.0).filter(|_| !second);
+        // A client that is short of time by its own doing is refused only what is past hope.
+        let aim = case.goal;
+        let room = |fill: f64| aim.times(fill).min(left);
+        if !second {
+            self.met.add(delay.min(aim).0 as f64 / aim.0.max(1) as f64, SIZE_GAIN);
+        }
+        let within = share.is_none_or(|share| delay <= room(fill) && share.draw(now));
+        let room = room(if within { fill } else { fill.min(FILL_BEYOND) });
+        if !second && delay > room {
+            let wait = self.longest_wait;
+            self.ready.push_back(Decision::Dismiss { multiget: id, wait });
+            self.shed_at = Some(now);
+            self.end(id);
+            return false;
+        }
+        self.promise(id, own);
+        // Guards all routers together against multigets that touch most nodes and then fail: while there
+        // is time, the quickest part goes first, and the others once it has answered.
+        offers.retain(|(_, offer, _)| offer.is_some());
+        let first = offers.first().map_or(Nanos(0), |(delay, _, _)| *delay);
+        let wide = offers.len() as f64 > WIDE * self.nodes.len() as f64;
+        let scouting = !second && offers.len() > 1 && wide && delay + first <= aim.times(EASY);
+        offers.truncate(if scouting { 1 } else { offers.len() });
+        self.open.get_mut(&id).into_iter().for_each(|multiget| multiget.scouting = scouting);
+        let offered = offers.iter().filter_map(|(_, offer, part)| offer.as_ref().map(|offer| (offer, part)));
+        offered.for_each(|(offer, part)| self.hand_off(now, part.id, offer));
+        offers.iter().for_each(|(_, _, part)| self.copy(now, part.id));
+        true
+    }
+}
--- /dev/null
+++ b/src/decide/answer.rs
@@ -0,0 +1,117 @@
+//! When a multiget is answered, and how.
+
+use super::*;
+
+/// How long before an end the last answer is given, in ticks of the host.
+const END_TICKS: f64 = 4.0;
+
+impl Router {
+    /// All that is decided of one multiget, in the order in which it matters.
+    pub(super) fn consider(&mut self, now: Nanos, id: MultigetId) {
+        let Some(multiget) = self.open.get(&id) else { return };
+        if multiget.ended {
+            if multiget.parts.iter().all(|part| part.out().next().is_none()) {
+                self.open.remove(&id);
+            }
+            return;
+        }
+        if !multiget.step().is_empty() {
+            if multiget.fresh && !self.admit(now, id) {
+                return;
+            }
+            self.mend(now, id);
+        }
+        let Some(multiget) = self.open.get(&id).filter(|held| !held.ended) else { return };
+        let case = &self.use_cases[multiget.use_case.0];
+        // An answer has to reach the client, which asked up to a tick before it was heard, and the
+        // host looks only once a tick. Guards against partial answers a moment too late.
+        let ends = [multiget.aim_end, multiget.until, multiget.client_end];
+        let ends @ [aim_end, until, client_end] = ends.map(|end| end - self.tick.times(END_TICKS));
+        let second = multiget.step_from > 0;
+        let whole = if second || multiget.second.is_some() { 1.0 } else { case.need };
+        let least = if second && case.floor >= case.need { 1.0 } else { case.floor };
+        let least = multiget.second.map_or(least, |facts| facts.least);
+        let weigh = |keep: fn(&Part) -> bool| -> f64 {
+            let weights = multiget.step().iter().filter(|part| keep(part)).map(|part| part.weight);
+            weights.sum::<f64>() + multiget.opened.map_or(0.0, |step| step.base) + ROUNDING
+        };
+        let waits = multiget.step().is_empty();
+        let answered = weigh(|part| part.answered);
+        let reachable = weigh(|part| part.answered || !part.given_up);
+        if answered >= whole {
+            self.settle(now, id, !second || multiget.first_whole);
+        } else if answered >= least && (now >= aim_end || reachable <= answered) {
+            self.settle(now, id, false);
+        } else if now >= client_end || !waits && (reachable < least || now >= until) {
+            self.give_up(now, id);
+        } else {
+            // Guards against a final answer that comes too late, whatever else is awaited.
+            let end = ends.into_iter().find(|at| now < *at).unwrap_or(client_end);
+            let pending = multiget.step().iter().filter(|part| !part.answered && !part.given_up);
+            let checks = pending.map(|part| self.check_at(now, part));
+            self.look_again(id, checks.fold(end, Nanos::min));
+        }
+    }
+
+    pub(super) fn settle(&mut self, now: Nanos, id: MultigetId, whole: bool) {
+        let Some(multiget) = self.open.get_mut(&id) else { return };
+        let case = &mut self.use_cases[multiget.use_case.0];
+        let last = multiget.step_from > 0 || !case.second_step && multiget.second.is_none();
+        self.ready.push_back(Decision::Settle { multiget: id, whole, last });
+        if last {
+            return self.end(id);
+        }
+        let from = multiget.step_from..multiget.parts.len();
+        (multiget.step_from, multiget.first_whole, multiget.fresh) = (from.end, whole, true);
+        (multiget.aim_end, multiget.until) = multiget.whole_ends;
+        multiget.second = None;
+        let until = multiget.client_end - self.tick.times(END_TICKS);
+        self.promise(id, 0.0);
+        from.for_each(|index| self.call_off(PartId { of: id, index }));
+        self.look_again(id, until.max(now + self.tick));
+    }
+
+    /// What cannot be answered any more gets its final answer at once. A dismissal says that asking again is
+    /// harmless, so nothing may have run that must not run twice.
+    pub(super) fn give_up(&mut self, now: Nanos, id: MultigetId) {
+        let Some(multiget) = self.open.get(&id) else { return };
+        let lasts = |part: &&Part| part.effect != Effect::Replayable;
+        let ran = multiget.parts.iter().filter(lasts).any(|part| part.hand_offs.iter().any(may_have_run));
+        self.ready.push_back(if now < multiget.client_end && !ran {
+            Decision::Dismiss { multiget: id, wait: self.longest_wait }
+        } else {
+            Decision::BreakOff { multiget: id }
+        });
+        self.end(id);
+    }
+
+    pub(super) fn end(&mut self, id: MultigetId) {
+        let Some(multiget) = self.open.get_mut(&id) else { return };
+        multiget.ended = true;
+        self.promised -= std::mem::take(&mut multiget.promised);
+        self.due.remove(&(multiget.look_at, id));
+        (0..multiget.parts.len()).for_each(|index| self.call_off(PartId { of: id, index }));
+        self.touched.push_back(id);
+    }
+
+    pub(super) fn look_again(&mut self, id: MultigetId, at: Nanos) {
+        if let Some(multiget) = self.open.get_mut(&id) {
+            self.due.remove(&(multiget.look_at, id));
+            multiget.look_at = at;
+            self.due.insert((at, id));
+        }
+    }
+
+    /// When a part that is not answered must be looked at again.
+    pub(super) fn check_at(&self, now: Nanos, part: &Part) -> Nanos {
+        let overdue = part.out().map(|sent| sent.sent + self.patience(sent)).min();
+        overdue.filter(|at| *at > now).unwrap_or(now + self.shortest_goal.times(DELAY_STEP))
+    }
+
+    /// Counts so much work as promised to the second phase of a multiget.
+    pub(super) fn promise(&mut self, id: MultigetId, work: f64) {
+        if let Some(multiget) = self.open.get_mut(&id) {
+            self.promised = (self.promised + work - std::mem::replace(&mut multiget.promised, work)).max(0.0);
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/further.rs
@@ -0,0 +1,159 @@
+//! Copies and further tries of parts, and the end of those out.
+
+use super::*;
+
+/// A late copy goes out if it raises the chance of an answer in time by this much.
+const LATE_GAIN: f64 = 0.75;
+/// Late ones are sent only while all copies are under this share.
+const LATE_SHARE: f64 = 0.05;
+
+impl Router {
+    /// The planned copies of a part that has just been handed off, as the design has it.
+    pub(super) fn copy(&mut self, now: Nanos, id: PartId) {
+        let Some(multiget) = self.open.get(&id.of) else { return };
+        let planned = self.plan.get(&(multiget.parts[id.index].shard, multiget.use_case));
+        for _ in 1..planned.copied().unwrap_or(1) {
+            let multiget = &self.open[&id.of];
+            let part = &multiget.parts[id.index];
+            let offer = self.choose(now, part, multiget.aim_end - now, &BTreeMap::new());
+            let may = self.may_copy(now, COPY_SHARE) && self.may_send_further(now, part);
+            let Some(offer) = offer.filter(|_| may && !self.is_shedding(now)) else { return };
+            self.hand_off(now, id, &offer);
+        }
+    }
+
+    /// Looks after parts not answered, overdue, failed or without a replica, and twins of answered ones.
+    pub(super) fn mend(&mut self, now: Nanos, id: MultigetId) {
+        let Some(multiget) = self.open.get(&id) else { return };
+        let until = multiget.until;
+        let left = if multiget.aim_end > now { multiget.aim_end } else { until } - now;
+        let mut sent = multiget.step().iter().flat_map(|part| &part.hand_offs);
+        let scouting = multiget.scouting && sent.all(|sent| !sent.missed && sent.outcome.is_none());
+        for index in multiget.step_from..multiget.parts.len() {
+            let part = &self.open[&id].parts[index];
+            if part.answered {
+                self.call_off(part.id);
+                continue;
+            }
+            let late = |sent: &HandOff| now - sent.sent >= self.patience(sent);
+            let (out, overdue) = (part.out().count(), part.out().filter(|sent| late(sent)).count());
+            if part.given_up || out > overdue && overdue == 0 {
+                continue;
+            }
+            let part = part.clone();
+            self.count_misses(now, &part);
+            // A part that fails at one replica goes to another at once, but then has to wait. Guards a
+            // multiget of many parts against ending with all of them for a few that were turned away.
+            let lately = part.hand_offs.iter().skip(1).any(|sent| self.is_fresh(now, sent));
+            let waits = out == 0 && lately && self.may_yet(now, &part);
+            let held = scouting && part.hand_offs.is_empty() || out > overdue || waits;
+            if held || out > 0 && (out > 1 || !self.second_copies || self.is_shedding(now)) {
+                continue;
+            }
+            // Guards against failures and silence: another is tried if in time, beside the first if likelier.
+            let missed: f64 = part.out().map(|sent| 1.0 - self.still(now, &part, sent, left)).product();
+            let offer = self.choose(now, &part, left, &BTreeMap::new()).filter(|offer| {
+                let gains = missed * offer.phi >= LATE_GAIN && self.may_copy(now, LATE_SHARE);
+                now + offer.delay < until && (out == 0 || gains)
+            });
+            match offer {
+                Some(offer) if part.hand_offs.is_empty() => {
+                    self.hand_off(now, part.id, &offer);
+                    self.copy(now, part.id);
+                }
+                Some(offer) if self.may_send_further(now, &part) => {
+                    self.hand_off(now, part.id, &offer);
+                }
+                _ if out == 0 && !part.hand_offs.is_empty() && !self.may_yet(now, &part) => {
+                    if let Some(multiget) = self.open.get_mut(&id) {
+                        multiget.parts[index].given_up = true;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub(super) fn patience(&self, sent: &HandOff) -> Nanos {
+        sent.expected.times(OVERDUE).max(self.shortest_goal.times(OVERDUE_GOAL))
+    }
+
+    /// The chance that a hand-off still out is answered within `left`, by all answers that took as
+    /// long. Guards a jam against being fed with copies, and what is late against passing for lost.
+    pub(super) fn still(&self, now: Nanos, part: &Part, sent: &HandOff, left: Nanos) -> f64 {
+        let waited = (now - sent.sent).0 as f64 / part.size;
+        let before = self.latencies.under(waited);
+        let by_then = self.latencies.under(waited + left.0 as f64 / part.size) - before;
+        by_then / (self.latencies.total() - before).max(ROUNDING)
+    }
+
+    /// A silent replica shows no latency, so what is overdue counts as a miss while it is still out.
+    pub(super) fn count_misses(&mut self, now: Nanos, part: &Part) {
+        for (no, sent) in part.hand_offs.iter().enumerate() {
+            if sent.outcome.is_none() && !sent.missed && now - sent.sent >= self.patience(sent) {
+                self.latencies.add_miss();
+                if let Some(node) = self.nodes.get_mut(&sent.node) {
+                    node.latencies.add_miss();
+                    // Guards against a store that answers what matches and stalls on what is fetched.
+                    if part.kind.1 {
+                        node.kinds.entry(part.kind).or_default().add(true);
+                    }
+                    if let Some((_, overdue)) = node.out.get_mut(&(sent.sent, part.id, no)) {
+                        *overdue = true;
+                    }
+                }
+                if let Some(multiget) = self.open.get_mut(&part.id.of) {
+                    multiget.parts[part.id.index].hand_offs[no].missed = true;
+                }
+                // Guards a sound node against a connection that has fallen silent.
+                self.ready.push_back(Decision::Renew { node: sent.node });
+                self.tell(now, sent.node, News::Overdue);
+            }
+        }
+    }
+
+    pub(super) fn hand_off(&mut self, now: Nanos, id: PartId, offer: &Offer) {
+        let cold = self.nodes.get(&offer.node).filter(|node| self.is_cold(now, node));
+        let room = cold.and_then(|node| self.cold_room(now, node));
+        let Some(multiget) = self.open.get_mut(&id.of) else { return };
+        let (use_case, stop_at) = (multiget.use_case, multiget.until);
+        let part = &mut multiget.parts[id.index];
+        let Some(node) = self.nodes.get_mut(&offer.node) else { return };
+        node.out.insert((now, id, part.hand_offs.len()), (part.size, false));
+        if let Some((room, _)) = room {
+            node.cold_room = (room - part.size, now);
+        }
+        if part.hand_offs.is_empty() {
+            self.first_sends.add(now, 1.0);
+            *self.sends.entry((part.shard, use_case)).or_insert(0.0) += 1.0;
+            let chance = &mut self.chance;
+            *self.turns.entry(part.shard).or_insert_with(|| chance.under(1 << 16) as usize) += 1;
+        } else {
+            self.further.add(now, 1.0);
+        }
+        part.hand_offs.push(HandOff {
+            node: offer.node,
+            sent: now,
+            expected: offer.delay,
+            ahead: node.holds(now - self.shortest_goal),
+            outcome: None,
+            called_off: false,
+            missed: false,
+        });
+        self.ready.push_back(Decision::HandOff { part: id, node: offer.node, stop_at });
+        self.tell(now, offer.node, News::Sent);
+    }
+
+    pub(super) fn call_off(&mut self, part: PartId) {
+        let Some(multiget) = self.open.get_mut(&part.of).filter(|_| self.cancel) else { return };
+        for (no, sent) in multiget.parts[part.index].hand_offs.iter_mut().enumerate() {
+            if sent.outcome.is_none() && !sent.called_off {
+                sent.called_off = true;
+                self.ready.push_back(Decision::CallOff { part, no: HandOffNo(no as u32) });
+                if let Some(node) = self.nodes.get_mut(&sent.node) {
+                    node.out.remove(&(sent.sent, part, no));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,124 @@
+//! Every decision of a fernknot query router.
+//!
+//! A host makes one [`Router`] a process start and tells it what it learns (`list`, `take`, `ended`, ...);
+//! this only updates what is known. After each batch of news it calls `next` until that returns `None` and
+//! carries out each decision; a `Wake` asks for `next` later, even without news. Ids, times, settings and
+//! decisions are in `interface.rs`, plain containers in `state.rs`; the reasons are in `docs/design.md`.
+//!
+//! A file for each concern: `learn` takes news in, `admission` and `answer` decide of a whole multiget,
+//! `choice`, `further` and `limits` of its parts, `copies` of how many of each are sent.
+
+mod admission;
+mod answer;
+mod choice;
+mod copies;
+mod further;
+mod learn;
+mod limits;
+
+use crate::interface::*;
+pub use crate::state::Router;
+use crate::state::*;
+pub use copies::{cut_target, service_level};
+use limits::may_have_run;
+use std::collections::BTreeMap;
+
+/// Weight of one part in the running means of sizes.
+const SIZE_GAIN: f64 = 0.02;
+/// The level that the estimate must reach; the least number of copies that does is taken.
+const TARGET: f64 = 0.95;
+/// Service time and its spread are read from this share of the latencies, the fastest ones.
+const FASTEST: f64 = 0.7;
+/// Extra copies stay under this share of the parts.
+const COPY_SHARE: f64 = 0.1;
+/// How often copies are planned anew and measurements halved.
+const RECOMPUTE: Nanos = Nanos(2_000_000_000);
+/// Bins of a latency histogram: the first ends at this share of the shortest goal time.
+const FIRST_BIN: f64 = 1.0 / 48.0;
+const BIN_RATIO: f64 = 1.5;
+const BINS: usize = 14;
+/// Replicas whose expected delays lie within this share of the goal time are equal.
+const DELAY_STEP: f64 = 1.0 / 24.0;
+/// A hand-off is overdue after so many times its expected delay, and this share of its goal time.
+const OVERDUE: f64 = 2.5;
+const OVERDUE_GOAL: f64 = 0.3;
+/// Seconds of its share that a customer may use at once.
+const SHARE_SPAN: f64 = 2.0;
+/// What one message to the other routers may hold.
+const MOST_NEWS: usize = 80;
+/// A share counts as reached when it falls short by no more than rounding.
+const ROUNDING: f64 = 0.00005;
+
+impl Router {
+    pub fn new(seed: u64, facts: SiteFacts, now: Nanos) -> Router {
+        let goal = facts.use_cases.iter().map(|case| case.goal).min();
+        let shortest_goal = goal.unwrap_or(RECOMPUTE).max(facts.tick);
+        let bins = Histogram::new(shortest_goal.0 as f64 * FIRST_BIN, BIN_RATIO, BINS);
+        let use_cases = facts.use_cases.iter().map(|case| UseCase::new(case, &bins));
+        let own_share = |rate: &f64| {
+            let rate = rate / facts.routers.max(1) as f64;
+            Allowance::new(rate, rate.max(1.0) * SHARE_SPAN, now)
+        };
+        Router {
+            use_cases: use_cases.collect(),
+            sharers: facts.routers.max(1) as f64,
+            shares: facts.customers.iter().map(own_share).collect(),
+            tick: facts.tick,
+            shortest_goal,
+            cold: facts.cold,
+            budget: facts.budget,
+            places: facts.places.max(1),
+            width: facts.width.max(1),
+            cancel: facts.cancel,
+            second_copies: facts.second_copies,
+            most_hand_offs: facts.most_hand_offs as usize,
+            longest_wait: facts.longest_wait.unwrap_or_default(),
+            ask_at: facts.must_ask.then_some(now),
+            must_ask: facts.must_ask,
+            peers: facts.peers && facts.routers > 1,
+            by_work: facts.by_work,
+            zone: facts.zone,
+            unmarked: !facts.marks_repeats,
+            chance: Mwc::new(seed),
+            latencies: bins.clone(),
+            raw_latencies: bins,
+            replan_at: now + RECOMPUTE,
+            mean_copies: 1.0,
+            busy_all: 1.0,
+            ..Router::default()
+        }
+    }
+
+    pub fn next(&mut self, now: Nanos) -> Option<Decision> {
+        loop {
+            if let Some(decision) = self.ready.pop_front() {
+                return Some(decision);
+            }
+            if self.ask_at.is_some_and(|at| at <= now) {
+                self.ask_at = None;
+                return Some(Decision::FollowList);
+            }
+            if now >= self.replan_at {
+                self.replan(now);
+            } else if let Some(multiget) = self.touched.pop_front() {
+                self.consider(now, multiget);
+            } else if let Some(first) = self.due.first().copied().filter(|(at, _)| *at <= now) {
+                self.due.remove(&first);
+                self.touched.push_back(first.1);
+            } else if self.tell_at.is_some_and(|at| at <= now) {
+                let news = self.news.drain(..self.news.len().min(MOST_NEWS)).collect();
+                self.tell_at = self.tell_at.filter(|_| !self.news.is_empty());
+                return Some(Decision::Tell { news });
+            } else {
+                let due = self.due.first().map(|(at, _)| *at);
+                let at =
+                    due.into_iter().chain(self.ask_at).chain(self.tell_at).fold(self.replan_at, Nanos::min);
+                if self.wake_at.is_some_and(|set| set > now && set <= at) {
+                    return None;
+                }
+                self.wake_at = Some(at);
+                return Some(Decision::Wake { after: at - now });
+            }
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -468,8 +468,8 @@
         overdue.map(|((sent, _, _), _)| *sent)
     }
 
-    /// Sizes of work that it has of ours and of others', for all that is known. What is overdue counts as lost if
-    /// it was sent before `lost_before`, or before something that has been answered.
+    /// Sizes of work that it has of ours and of others', for all that is known. What is overdue counts as
+    /// lost if it was sent before `lost_before`, or before something that has been answered.
     pub fn holds(&self, lost_before: Nanos) -> f64 {
         let ours = lost_before.max(self.answered_to);
         let held = self.out.iter().filter(|((sent, _, _), (_, overdue))| !overdue || *sent >= ours);
@@ -477,3 +477,77 @@
         held.map(|(_, (size, _))| size).sum::<f64>() + others as f64
     }
 }
+
+/// What is expected of a part at a node; `phi` is the chance of an answer in time.
+#[derive(Clone, Copy)]
+pub struct Offer {
+    pub node: NodeId,
+    pub delay: Nanos,
+    pub phi: f64,
+}
+
+/// All that a router knows; what it makes of it is in `decide`.
+#[derive(Default)]
+pub struct Router {
+    pub(crate) use_cases: Vec<UseCase>,
+    pub(crate) by_work: bool,
+    pub(crate) unmarked: bool,
+    pub(crate) zone: Option<ZoneId>,
+    /// Among how many routers limits are shared.
+    pub(crate) sharers: f64,
+    /// Multigets within each customer's share at this router.
+    pub(crate) shares: Vec<Allowance>,
+    pub(crate) tick: Nanos,
+    pub(crate) shortest_goal: Nanos,
+    pub(crate) cold: ColdFacts,
+    /// What a warm replica could answer to this router, in sizes a nanosecond.
+    pub(crate) bears: RunningMean,
+    /// How busy warm replicas are.
+    pub(crate) busy_all: f64,
+    pub(crate) budget: Option<BudgetFacts>,
+    pub(crate) places: u32,
+    pub(crate) width: u32,
+    pub(crate) cancel: bool,
+    pub(crate) second_copies: bool,
+    pub(crate) most_hand_offs: usize,
+    pub(crate) longest_wait: Nanos,
+    /// When to ask to be told of changes of the list, where that must be asked.
+    pub(crate) ask_at: Option<Nanos>,
+    pub(crate) must_ask: bool,
+    pub(crate) ask_wait: f64,
+    /// What the other routers are to be told, where they may be, and when.
+    pub(crate) peers: bool,
+    pub(crate) news: Vec<(NodeId, News)>,
+    pub(crate) tell_at: Option<Nanos>,
+    pub(crate) chance: Mwc,
+    pub(crate) nodes: BTreeMap<NodeId, Node>,
+    pub(crate) by_place: Places,
+    pub(crate) open: BTreeMap<MultigetId, Multiget>,
+    /// At all replicas: over sizes, misses among them, and as they were.
+    pub(crate) latencies: Histogram,
+    pub(crate) raw_latencies: Histogram,
+    pub(crate) failures: Tally,
+    /// Hints of work against latencies, as logarithms.
+    pub(crate) hints: Trend,
+    pub(crate) pace: RunningMean,
+    /// Planned copies, and first hand-offs of the running period.
+    pub(crate) plan: BTreeMap<(ShardId, UseCaseId), usize>,
+    pub(crate) sends: BTreeMap<(ShardId, UseCaseId), f64>,
+    pub(crate) turns: BTreeMap<ShardId, usize>,
+    pub(crate) replan_at: Nanos,
+    pub(crate) mean_copies: f64,
+    /// Multigets and parts taken; hand-offs: first ones, and all past the first.
+    pub(crate) taken: SlidingCount,
+    pub(crate) first_sends: SlidingCount,
+    pub(crate) further: SlidingCount,
+    /// The share of the goal time that the expected delay of multigets fills.
+    pub(crate) met: RunningMean,
+    /// Sizes promised to second phases of multigets whose first one runs.
+    pub(crate) promised: f64,
+    /// When a multiget was last dismissed for the delay it would meet.
+    pub(crate) shed_at: Option<Nanos>,
+    pub(crate) touched: VecDeque<MultigetId>,
+    pub(crate) due: BTreeSet<(Nanos, MultigetId)>,
+    pub(crate) wake_at: Option<Nanos>,
+    pub(crate) ready: VecDeque<Decision>,
+}
