--- a/crates/fernknot-duties/src/cut.rs
+++ b/crates/fernknot-duties/src/cut.rs
@@ -69,17 +69,17 @@
 
     /// Whose a key is among the gateways of a zone, or of all zones. None if no gateway lives there.
     pub fn owner(&self, zone: Option<&str>, key: &str) -> Option<&Gateway> {
-        let key = hash(key);
+        let key = key_hash(key);
         let here = self.live.iter().filter(|gateway| zone.is_none_or(|zone| gateway.zone == zone));
-        here.max_by_key(|gateway| (mix(key ^ mix(gateway.life.0)), gateway.life))
+        here.max_by_key(|gateway| (scatter(key ^ scatter(gateway.life.0)), gateway.life))
     }
 
     /// The gateways of a zone, or of all zones, in a key's order: its owner first.
     pub fn ranked(&self, zone: Option<&str>, key: &str) -> Vec<&Gateway> {
-        let key = hash(key);
+        let key = key_hash(key);
         let here = self.live.iter().filter(|gateway| zone.is_none_or(|zone| gateway.zone == zone));
         let mut ranked: Vec<&Gateway> = here.collect();
-        ranked.sort_by_cached_key(|gateway| Reverse((mix(key ^ mix(gateway.life.0)), gateway.life)));
+        ranked.sort_by_cached_key(|gateway| Reverse((scatter(key ^ scatter(gateway.life.0)), gateway.life)));
         ranked
     }
 
@@ -120,12 +120,13 @@
     }
 }
 
-fn hash(key: &str) -> u64 {
+/// A hash of a key that is the same in every process (FNV-1a).
+pub fn key_hash(key: &str) -> u64 {
     key.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ byte as u64).wrapping_mul(0x0100_0000_01b3))
 }
 
 /// Spreads every bit over all (the last step of splitmix64).
-fn mix(value: u64) -> u64 {
+pub fn scatter(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/fernknot-homes/src/link.rs
+++ b/crates/fernknot-homes/src/link.rs
@@ -1,7 +1,7 @@
 //! Topics, pulses and the links on which they come.
 
 use fernknot::interface::Nanos;
-use fernknot_duties::Fence;
+use fernknot_duties::{Fence, key_hash};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -24,12 +24,7 @@
     pub(crate) fn ward(&self, wards: usize) -> usize {
         match self {
             Topic::Configuration => 0,
-            Topic::Service(name) => {
-                let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
-                    (hash ^ byte as u64).wrapping_mul(0x0100_0000_01b3)
-                });
-                (hash >> 32) as usize % wards.max(1)
-            }
+            Topic::Service(name) => (key_hash(name) >> 32) as usize % wards.max(1),
         }
     }
 }
--- a/crates/fernknot-homes/src/registrars.rs
+++ b/crates/fernknot-homes/src/registrars.rs
@@ -1,6 +1,7 @@
 //! Which registrar a gateway is with, and how it goes to another.
 
 use fernknot::interface::Nanos;
+use fernknot_duties::scatter;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
@@ -53,18 +54,11 @@
 
     /// A share of one, the same each time for this process and number.
     pub fn chance(&self, number: u64) -> f64 {
-        (mix(self.seed ^ mix(number)) >> 11) as f64 / (1u64 << 53) as f64
+        (scatter(self.seed ^ scatter(number)) >> 11) as f64 / (1u64 << 53) as f64
     }
 
     /// An order of addresses of this process's own.
     pub fn rank(&self, addr: SocketAddrV4) -> u64 {
-        mix(self.seed ^ mix((u32::from(*addr.ip()) as u64) << 16 | addr.port() as u64))
+        scatter(self.seed ^ scatter((u32::from(*addr.ip()) as u64) << 16 | addr.port() as u64))
     }
 }
-
-fn mix(value: u64) -> u64 {
-    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ value >> 31
-}
--- a/crates/fernknot-homes/tests/homes.rs
+++ b/crates/fernknot-homes/tests/homes.rs
@@ -175,11 +175,11 @@
         let (at, now) = (rounds % 2, millis(150 * (rounds as u64 + 1)));
         pair[at].pulse(now, addrs[1 - at], What::Home, pulse);
         let orders: Vec<Order> = std::iter::from_fn(|| pair[at].next(now)).collect();
-        let relayed = orders.iter().filter_map(|order| match order {
+        let mut relayed = orders.iter().filter_map(|order| match order {
             Order::Relay { pulse, .. } if pulse.lease => Some(*pulse),
             _ => None,
         });
-        pulse = relayed.last().unwrap_or_default();
+        pulse = relayed.next_back().unwrap_or_default();
         rounds += 1;
     }
     assert!((5..12).contains(&rounds), "{rounds}");
