Let the processes know each other by views shuffled between neighbours

Cause: a process is told three seeds, which may all be gone later. Change: a crate that shuffles a small view, keeps registrars with preference and ages out the silent; ages are milliseconds, for ages counted in turns grew too slowly where turns interleave, and a test still met the dead after 60 periods.

--- /dev/null
+++ b/crates/fernknot-overlay/src/descriptor.rs
@@ -0,0 +1,35 @@
+//! What a process tells of itself, and others of it.
+
+use bitcode::{Decode, Encode};
+use std::net::SocketAddrV4;
+
+/// What a process serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub enum Role {
+    Gateway,
+    Registrar,
+}
+
+/// A process as it was known `age` ago.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Descriptor {
+    /// Where other processes of the system reach it.
+    pub addr: SocketAddrV4,
+    pub role: Role,
+    pub zone: String,
+    /// Another after each start.
+    pub life: u64,
+    /// Milliseconds since it told this itself.
+    pub age: u32,
+}
+
+impl Descriptor {
+    /// Takes in what is known of the same address: the younger word counts. Returns whether it did.
+    pub(crate) fn renew(&mut self, other: &Descriptor) -> bool {
+        let younger = other.age < self.age;
+        if younger {
+            self.clone_from(other);
+        }
+        younger
+    }
+}
--- /dev/null
+++ b/crates/fernknot-overlay/tests/common/mod.rs
@@ -0,0 +1,60 @@
+//! Some hundred processes in memory; a shuffle takes no time, and the dead don't answer.
+
+use fernknot::interface::Nanos;
+use fernknot_overlay::{Descriptor, Order, Overlay, OverlayBounds, Role};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+pub const PERIOD: Nanos = Nanos(1_000_000_000);
+pub const ZONES: [&str; 3] = ["north", "south", "east"];
+
+pub fn addr(number: u32) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + number), 7120)
+}
+
+pub struct World {
+    pub now: Nanos,
+    pub alive: BTreeMap<u32, Overlay>,
+    pub longest: usize,
+}
+
+impl World {
+    /// Registrars have the first numbers.
+    pub fn new(registrars: u32, gateways: u32, seeds: &[u32]) -> World {
+        let mut world = World { now: Nanos(0), alive: BTreeMap::new(), longest: 0 };
+        for number in 0..registrars + gateways {
+            world.start(number, if number < registrars { Role::Registrar } else { Role::Gateway }, seeds);
+        }
+        world
+    }
+
+    pub fn start(&mut self, number: u32, role: Role, seeds: &[u32]) {
+        let zone = ZONES[number as usize % 3].to_string();
+        let me = Descriptor { addr: addr(number), role, zone, life: number as u64 + 1, age: 0 };
+        let seeds: Vec<SocketAddrV4> = seeds.iter().map(|seed| addr(*seed)).collect();
+        let overlay = Overlay::new(me, &seeds, PERIOD, OverlayBounds::default(), number as u64);
+        self.alive.insert(number, overlay);
+    }
+
+    pub fn run(&mut self, periods: u32) {
+        for _ in 0..periods * 10 {
+            self.now = self.now + PERIOD.times(0.1);
+            for number in self.alive.keys().copied().collect::<Vec<_>>() {
+                while let Some(Order::Shuffle { to, sample }) =
+                    self.alive.get_mut(&number).unwrap().next(self.now)
+                {
+                    let other = u32::from(*to.ip()) - 0x0a00_0000;
+                    let Some(peer) = self.alive.get_mut(&other) else { continue };
+                    let answer = peer.heard(self.now, addr(number), &sample);
+                    self.longest =
+                        self.longest.max(bitcode::encode(&sample).len().max(bitcode::encode(&answer).len()));
+                    self.alive.get_mut(&number).unwrap().answered(self.now, to, &answer);
+                }
+            }
+        }
+    }
+
+    pub fn is_alive(&self, addr: SocketAddrV4) -> bool {
+        self.alive.contains_key(&(u32::from(*addr.ip()) - 0x0a00_0000))
+    }
+}
--- /dev/null
+++ b/crates/fernknot-overlay/tests/overlay.rs
@@ -0,0 +1,117 @@
+//! Whether processes keep knowing each other while others come and go.
+
+mod common;
+
+use common::{PERIOD, World, ZONES, addr};
+use fernknot_overlay::{Descriptor, Overlay, OverlayBounds, Role};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+#[test]
+fn given_300_processes_when_all_seeds_die_then_everyone_keeps_finding_a_live_registrar() {
+    let mut world = World::new(6, 294, &[0, 1, 2]);
+    world.run(15);
+    (0..3).for_each(|seed| drop(world.alive.remove(&seed)));
+    for _ in 0..30 {
+        world.run(2);
+        for (number, overlay) in &world.alive {
+            let known = overlay.peers(Role::Registrar, None);
+            assert!(known.iter().any(|entry| world.is_alive(entry.addr)), "{number} knows no live registrar");
+        }
+    }
+    for (number, overlay) in &world.alive {
+        let known = overlay.know();
+        assert!(known.iter().all(|entry| world.is_alive(entry.addr)), "{number} still knows a dead one");
+        let registrars = overlay.peers(Role::Registrar, None).len();
+        assert!(registrars >= 2, "{number} knows {registrars} of 3");
+        for zone in ZONES {
+            assert!(known.iter().any(|entry| entry.zone == zone), "{number} knows nobody in {zone}");
+        }
+    }
+}
+
+#[test]
+fn given_300_processes_when_they_shuffle_for_long_then_none_is_known_by_too_many_and_messages_stay_small() {
+    let mut world = World::new(3, 297, &[0, 1, 2]);
+    world.run(60);
+    let mut known_by = BTreeMap::<_, usize>::new();
+    for overlay in world.alive.values() {
+        for entry in overlay.peers(Role::Gateway, None) {
+            *known_by.entry(entry.addr).or_default() += 1;
+        }
+    }
+    let (least, most) = (known_by.values().min().unwrap(), known_by.values().max().unwrap());
+    assert!(
+        known_by.len() >= 295 && *least >= 5 && *most <= 45,
+        "{} known, {least} to {most}",
+        known_by.len()
+    );
+    assert!(world.longest <= 300, "{} bytes", world.longest);
+}
+
+#[test]
+fn given_registrars_replaced_one_by_one_when_newcomers_know_one_of_those_before_then_all_are_found() {
+    let mut world = World::new(3, 87, &[0, 1, 2]);
+    world.run(15);
+    for step in 0..6 {
+        world.start(1_000 + step, Role::Registrar, &[if step < 3 { step } else { 997 + step }, 999]);
+        world.run(12);
+        world.alive.remove(&if step < 3 { step } else { 997 + step });
+        world.run(12);
+    }
+    world.run(30);
+    for (number, overlay) in &world.alive {
+        let known = overlay.peers(Role::Registrar, None);
+        let live = known.iter().filter(|entry| world.is_alive(entry.addr)).count();
+        let expected = if *number >= 1_000 { 2 } else { 3 };
+        assert_eq!((live, known.len()), (expected, expected), "{number}");
+    }
+}
+
+#[test]
+fn given_two_parts_that_lost_each_other_when_their_seeds_are_reached_again_then_they_are_one() {
+    let mut world = World::new(0, 0, &[]);
+    for number in 0..60 {
+        let role = if number % 30 == 0 { Role::Registrar } else { Role::Gateway };
+        world.start(number, role, &[number / 30 * 30]);
+    }
+    world.run(20);
+    let other = |overlay: &Overlay| overlay.know().iter().filter(|entry| entry.addr >= addr(30)).count();
+    assert!((0..30).all(|number| other(&world.alive[&number]) == 0));
+    world.alive.get_mut(&5).unwrap().seeds(&[addr(30)]);
+    world.run(60);
+    assert!((0..30).all(|number| other(&world.alive[&number]) > 3));
+}
+
+proptest! {
+    #[test]
+    fn whatever_is_told_the_view_stays_bounded_and_holds_no_two_of_one_address_nor_itself(
+        told in prop::collection::vec(
+            (0..40u32, any::<bool>(), 0..4usize, 0..9u64, any::<u32>(), any::<bool>()), 0..200,
+        ),
+        bytes in prop::collection::vec(any::<u8>(), 0..100),
+    ) {
+        let me = Descriptor { addr: addr(0), role: Role::Registrar, zone: "north".into(), life: 1, age: 0 };
+        let bounds = OverlayBounds::default();
+        let mut overlay = Overlay::new(me, &[addr(1)], PERIOD, bounds, 7);
+        for (at, chunk) in told.chunks(9).enumerate() {
+            let sample: Vec<Descriptor> = chunk.iter().map(|&(number, registrar, zone, life, age, _)| Descriptor {
+                addr: addr(number),
+                role: if registrar { Role::Registrar } else { Role::Gateway },
+                zone: ["north", "south", "east", "a zone that is new"][zone].into(),
+                life,
+                age,
+            }).collect();
+            let (from, now) = (sample[0].addr, PERIOD.times(at as f64));
+            if chunk[0].5 { overlay.answered(now, from, &sample) } else { overlay.heard(now, from, &sample); }
+            if chunk[0].1 { overlay.failed(from) } else { overlay.lives(from) }
+            while overlay.next(now).is_some() {}
+            let known = overlay.know();
+            prop_assert!(known.len() <= bounds.view + bounds.registrars);
+            let places: std::collections::BTreeSet<_> = known.iter().map(|entry| entry.addr).collect();
+            prop_assert_eq!(places.len(), known.len());
+            prop_assert!(!places.contains(&addr(0)));
+        }
+        let _ = bitcode::decode::<Vec<Descriptor>>(&bytes);
+    }
+}
