Add the control plane process: registrar, its calls, and its host

Beats, drains and leaves go to a registry that is shared among registrars and pushed to listening gateways; configurations go through the one order of the views and are acknowledged once taken.

--- /dev/null
+++ b/crates/fernknot-headworks/src/changes.rs
@@ -0,0 +1,164 @@
+//! The operators' changes in hand here: who asked, how far each is, and by when it must have an end.
+
+use crate::calls::Replaced;
+use crate::control::Control;
+use crate::registrar::Slot;
+use fernknot::interface::Nanos;
+use std::net::SocketAddrV4;
+
+/// Changes in hand at once. Operators are few; what is over is told to come back.
+const MOST: usize = 8;
+/// A registrar that would not decide is asked again after this.
+const PAUSE: Nanos = Nanos(50_000_000);
+
+/// Who waits for the end of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    Caller(Slot),
+    /// Another registrar, by its number for the call.
+    Peer(SocketAddrV4, u64),
+}
+
+/// How far a change is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No sequencer was known, or another change is before it.
+    Waits,
+    /// With the sequencer.
+    HandedTo(SocketAddrV4),
+    /// Proposed here.
+    Proposed(u64),
+}
+
+/// One change.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// Its number here, never used again in this life.
+    pub call: u64,
+    pub origin: Origin,
+    pub base: u64,
+    pub epoch: u64,
+    pub digest: u64,
+    pub body: Vec<u8>,
+    pub until: Nanos,
+    pub not_before: Nanos,
+    pub stage: Stage,
+}
+
+/// What a sequencer makes of a change by the state in force.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Verdict {
+    End(Replaced),
+    Propose,
+}
+
+/// By the state in force alone, so that every sequencer decides alike.
+pub fn judge(control: &Control, change: &Change) -> Verdict {
+    if control.has_taken(change.epoch, change.digest) {
+        return Verdict::End(Replaced::Taken);
+    }
+    if change.base != control.epoch {
+        return Verdict::End(Replaced::Other(format!("version {} is in place", control.epoch)));
+    }
+    if change.epoch <= control.epoch {
+        return Verdict::End(Replaced::Invalid(format!("epoch: is not above {}", control.epoch)));
+    }
+    Verdict::Propose
+}
+
+/// All changes in hand, in the order in which they came.
+#[derive(Debug, Default)]
+pub struct Changes {
+    pub list: Vec<Change>,
+    calls: u64,
+}
+
+impl Changes {
+    /// Takes a change in hand; false where there are too many.
+    pub fn take(
+        &mut self,
+        now: Nanos,
+        origin: Origin,
+        (base, epoch, digest): (u64, u64, u64),
+        body: Vec<u8>,
+        until: Nanos,
+    ) -> bool {
+        if self.list.len() >= MOST {
+            return false;
+        }
+        self.calls += 1;
+        let stage = Stage::Waits;
+        let call = self.calls;
+        self.list.push(Change { call, origin, base, epoch, digest, body, until, not_before: now, stage });
+        true
+    }
+
+    /// The ends of those that have run out of time.
+    pub fn expire(&mut self, now: Nanos) -> Vec<Origin> {
+        self.end_where(|change| change.until <= now)
+    }
+
+    /// The ends of those that were taken by now.
+    pub fn settle(&mut self, control: &Control) -> Vec<Origin> {
+        self.end_where(|change| control.has_taken(change.epoch, change.digest))
+    }
+
+    fn end_where(&mut self, mut ends: impl FnMut(&Change) -> bool) -> Vec<Origin> {
+        let mut ended = Vec::new();
+        self.list.retain(|change| {
+            let end = ends(change);
+            if end {
+                ended.push(change.origin);
+            }
+            !end
+        });
+        ended
+    }
+
+    /// The caller has gone: nobody waits for this end. What is proposed goes its way.
+    pub fn forget(&mut self, origin: Origin) {
+        self.list.retain(|change| change.origin != origin);
+    }
+
+    /// The sequencer's end of a change that was handed to it.
+    pub fn ended_elsewhere(&mut self, now: Nanos, by: SocketAddrV4, call: u64, end: u16) -> Option<Origin> {
+        let at =
+            self.list.iter().position(|change| change.call == call && change.stage == Stage::HandedTo(by))?;
+        if end == 503 {
+            // It was no sequencer any more, or its time was over: ask again while there is time here.
+            self.list[at].stage = Stage::Waits;
+            self.list[at].not_before = now + PAUSE;
+            return None;
+        }
+        Some(self.list.remove(at).origin)
+    }
+
+    /// Those handed to another than the sequencer wait again: it may not live.
+    pub fn handed_only_to(&mut self, sequencer: Option<SocketAddrV4>) {
+        for change in &mut self.list {
+            if matches!(change.stage, Stage::HandedTo(to) if Some(to) != sequencer) {
+                change.stage = Stage::Waits;
+            }
+        }
+    }
+
+    /// Those of a proposal wait again, to be judged by what is in force then.
+    pub fn unpropose(&mut self, now: Nanos, proposal: Option<u64>) {
+        for change in &mut self.list {
+            if matches!(change.stage, Stage::Proposed(no) if proposal.is_none_or(|proposal| no == proposal)) {
+                change.stage = Stage::Waits;
+                // Not at once: what was refused now is refused again now.
+                change.not_before = if proposal.is_some() { now + PAUSE } else { now };
+            }
+        }
+    }
+
+    /// When the next runs out of time, or may be tried again.
+    pub fn due(&self, now: Nanos) -> Option<Nanos> {
+        let times = self.list.iter().flat_map(|change| {
+            let again = (change.not_before > now).then_some(change.not_before);
+            again.into_iter().chain([change.until])
+        });
+        times.min()
+    }
+}
--- /dev/null
+++ b/crates/fernknot-headworks/src/disk.rs
@@ -0,0 +1,167 @@
+//! The disk, seen from the loop: read once at the start and written by a thread of its own.
+
+use fernknot_cistern::{Cistern, Space, StoreError};
+use fernknot_gauge::part;
+use fernknot_views::{Saved, Ticket};
+use mio::Waker;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+/// The register's part, and the registrars once known.
+const VIEWS: &str = "views";
+const KNOWN: &str = "known";
+/// The register has one write out, and one more after a failure; the rest is for addresses.
+const SLOTS: usize = 8;
+/// A folder that does not open is tried again after this.
+const AGAIN: Duration = Duration::from_millis(200);
+/// Tickets of writes that nobody waits for.
+const NOBODY: u64 = u64::MAX;
+
+/// What lay on the disk at the start.
+pub struct Found {
+    pub saved: Option<Saved>,
+    pub known: Vec<SocketAddrV4>,
+    /// Nothing of the register was there.
+    pub fresh: bool,
+}
+
+enum State {
+    /// The thread that opens the folder hands it over when it has read it.
+    Opening(Receiver<(Cistern, Found)>),
+    Open(Cistern),
+    /// This machine has none: what is held is as lasting as the process.
+    Absent(Vec<Ticket>),
+}
+
+/// The disk.
+pub struct Disk {
+    state: State,
+    /// A disk that takes longer for one write is not well.
+    patience: Duration,
+}
+
+fn read(cistern: &Cistern) -> Result<Found, StoreError> {
+    let bytes = cistern.load(VIEWS)?;
+    let known = cistern.load(KNOWN)?.and_then(|bytes| bitcode::decode(&bytes).ok());
+    let fresh = bytes.is_none();
+    // What another build wrote says nothing here, and its member's life ends: it joins as a new one.
+    let saved = bytes.and_then(|bytes| match bitcode::decode::<Saved>(&bytes) {
+        Ok(saved) => Some(saved),
+        Err(why) => {
+            log::error!(target: part::DISK, "read the register: {why}");
+            None
+        }
+    });
+    Ok(Found { saved, known: known.unwrap_or_default(), fresh })
+}
+
+fn wait_until_read(cistern: &Cistern) -> Found {
+    let mut told = false;
+    loop {
+        match read(cistern) {
+            Ok(found) => return found,
+            Err(why) => {
+                if !std::mem::replace(&mut told, true) {
+                    log::warn!(target: part::DISK, "{why}; trying again");
+                }
+                std::thread::sleep(AGAIN);
+            }
+        }
+    }
+}
+
+impl Disk {
+    /// Begins to read the folder, on a thread of its own: a disk that hangs holds up no beat. Without a folder, all
+    /// is there at once.
+    pub fn begin(dir: Option<PathBuf>, bytes: u64, patience: Duration, waker: Arc<Waker>) -> Disk {
+        let Some(dir) = dir else { return Disk { state: State::Absent(Vec::new()), patience } };
+        let (to, from) = channel();
+        let work = move || {
+            let wake = waker.clone();
+            let waker_of_writes: Box<dyn Fn() + Send> = Box::new(move || _ = wake.wake());
+            let space = Space { slots: SLOTS, disk_bytes: bytes };
+            match Cistern::open(dir, space, Some(waker_of_writes)) {
+                Ok(cistern) => {
+                    let found = wait_until_read(&cistern);
+                    // The loop may have ended meanwhile.
+                    let _ = to.send((cistern, found));
+                }
+                Err(why) => log::error!(target: part::DISK, "{why}"),
+            }
+            let _ = waker.wake();
+        };
+        if let Err(why) = std::thread::Builder::new().name("opening".into()).spawn(work) {
+            log::error!(target: part::DISK, "start a thread: {why}");
+        }
+        Disk { state: State::Opening(from), patience }
+    }
+
+    /// What lay there, once it has been read; given out once.
+    pub fn found(&mut self) -> Option<Found> {
+        let State::Opening(from) = &self.state else { return None };
+        let (cistern, found) = from.try_recv().ok()?;
+        self.state = State::Open(cistern);
+        Some(found)
+    }
+
+    /// True where there is no disk at all.
+    pub fn is_absent(&self) -> bool {
+        matches!(self.state, State::Absent(_))
+    }
+
+    /// Begins a write of the register. False where it can't even wait.
+    pub fn store(&mut self, ticket: Ticket, saved: &Saved) -> bool {
+        match &mut self.state {
+            State::Opening(_) => false,
+            State::Open(cistern) => cistern.submit(ticket.0, VIEWS, bitcode::encode(saved)).is_ok(),
+            State::Absent(done) => {
+                done.push(ticket);
+                true
+            }
+        }
+    }
+
+    /// Keeps addresses; if it fails, the next change brings them again.
+    pub fn remember(&mut self, addrs: &[SocketAddrV4]) {
+        if let State::Open(cistern) = &self.state {
+            let _ = cistern.submit(NOBODY, KNOWN, bitcode::encode(addrs));
+        }
+    }
+
+    /// Writes of the register that came to an end, and whether it was a good one.
+    pub fn done(&mut self) -> Vec<(Ticket, bool)> {
+        match &mut self.state {
+            State::Opening(_) => Vec::new(),
+            State::Open(cistern) => {
+                let done = cistern.done().into_iter().filter(|(ticket, _)| *ticket != NOBODY);
+                done.map(|(ticket, end)| {
+                    if let Err(why) = &end {
+                        log::warn!(target: part::DISK, "{why}");
+                    }
+                    (Ticket(ticket), end.is_ok())
+                })
+                .collect()
+            }
+            State::Absent(done) => std::mem::take(done).into_iter().map(|ticket| (ticket, true)).collect(),
+        }
+    }
+
+    /// Whether it writes, and in time.
+    pub fn is_well(&self) -> bool {
+        match &self.state {
+            State::Opening(_) => false,
+            State::Open(cistern) => {
+                cistern.sound() && cistern.oldest_wait(Instant::now()).is_none_or(|wait| wait < self.patience)
+            }
+            State::Absent(_) => true,
+        }
+    }
+
+    /// When it is to be looked at again, if a write is out.
+    pub fn is_writing(&self) -> bool {
+        matches!(&self.state, State::Open(cistern) if cistern.waiting() > 0)
+    }
+}
--- /dev/null
+++ b/crates/fernknot-headworks/src/lib.rs
@@ -0,0 +1,16 @@
+//! The control plane of fernknot. A [`Registrar`] keeps the operator's configuration together with its like, knows
+//! the nodes by their beats, and tells the gateways of both. It has no socket, file or clock: the program's host
+//! ([`host`]) feeds it calls and words and pulls orders from it.
+
+mod calls;
+mod changes;
+mod control;
+mod disk;
+mod ears;
+pub mod host;
+mod peers;
+mod registrar;
+
+pub use changes::Origin;
+pub use control::{Control, Taken};
+pub use registrar::{Ear, Order, Registrar, RegistrarFacts, Slot};
--- /dev/null
+++ b/crates/fernknot-headworks/src/registrar.rs
@@ -0,0 +1,1020 @@
+//! One registrar: what it knows, and what it does about what it hears.
+
+use crate::calls::{
+    Count, Counted, Deregister, Heartbeat, Newest, NodeHeard, Read, Readiness, Ready, Replace, Replaced,
+};
+use crate::changes::{Changes, Origin, Stage, Verdict, judge};
+use crate::control::{Control, InForce, Taken};
+use crate::ears::{Ears, Listener};
+use crate::peers::{Do, Peers};
+use fernknot::interface::Nanos;
+use fernknot_conduit::{Inward, Outward, PeerWord, Question, Registrar as Told};
+use fernknot_duties::{Cut, Fence, Keeper, KeeperBounds};
+use fernknot_gauge::{Counters, part};
+use fernknot_intake::{NodeState as Beats, Plan, digest};
+use fernknot_registry::{NodeFact, NodeState, Noted, Registry, RegistryBounds, life_hash};
+use fernknot_standpipe::{Desk, Reply, Request, Serve, Served};
+use fernknot_views::{Member, MemberId, Order as ViewOrder, OrderNo, Saved, Ticket, ViewFacts, Views};
+use log::Level;
+use std::collections::{BTreeSet, VecDeque};
+use std::fmt::Write;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+/// An operator moves on after a second of silence: the end of a change, known or not, comes before.
+const CALL_WITHIN: Nanos = Nanos(800_000_000);
+/// The part of that for which the sequencer keeps a change that another registrar handed on.
+const SEQUENCER_SHARE: f64 = 0.9;
+/// Gateways told of in one go, and lives in one `Heard`.
+const MOST_TOLD: usize = 4096;
+/// Registrars named in a pulse.
+const MOST_NAMED: usize = 16;
+
+/// A caller who waits for an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Slot(pub u64);
+
+/// The connection of a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ear(pub u64);
+
+/// What a registrar is told at its start.
+#[derive(Clone, Debug)]
+pub struct RegistrarFacts {
+    /// Where other processes of the system reach it.
+    pub addr: SocketAddrV4,
+    pub zone: String,
+    /// Inner addresses of the registrars that the operator's list named.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Only true when the whole system starts for the first time.
+    pub bootstrap: bool,
+    /// How many disks may be lost at once.
+    pub losses: usize,
+    /// About how often a node beats.
+    pub beat: Nanos,
+    /// Within so long of its acknowledgement a configuration is in force everywhere.
+    pub apply: Nanos,
+    /// Machines out of touch are waited for so long by the rules.
+    pub contact: Nanos,
+    /// Must differ from start to start.
+    pub seed: u64,
+}
+
+impl RegistrarFacts {
+    /// A registrar that was silent for so long is left out.
+    pub fn suspect(&self) -> Nanos {
+        self.contact.times(0.25)
+    }
+
+    /// How often listeners hear a pulse.
+    fn pulse(&self) -> Nanos {
+        self.apply.times(1.0 / 12.0)
+    }
+
+    fn views(&self, id: MemberId, bootstrap: bool) -> ViewFacts {
+        let suspect_after = self.suspect();
+        ViewFacts {
+            me: Member { id, addr: self.addr, zone: self.zone.clone() },
+            founders: self.seeds.clone(),
+            bootstrap,
+            losses: self.losses,
+            suspect_after,
+            pulse_every: suspect_after.times(0.2),
+            lease: suspect_after.times(0.8),
+        }
+    }
+}
+
+/// What the host is to do.
+#[derive(Debug)]
+pub enum Order {
+    Answer {
+        slot: Slot,
+        reply: Reply,
+    },
+    /// To another registrar, over the connection that was opened to it.
+    Say {
+        to: SocketAddrV4,
+        word: PeerWord,
+    },
+    Tell {
+        to: Vec<Ear>,
+        word: Outward,
+    },
+    /// Open a connection to a registrar; `opened` or `closed` follows.
+    Connect {
+        to: SocketAddrV4,
+    },
+    /// Stop opening it.
+    GiveUp {
+        to: SocketAddrV4,
+    },
+    /// Write and sync, then call `stored`.
+    Store {
+        ticket: Ticket,
+        saved: Saved,
+    },
+    /// Keep these addresses on disk, in the place of those before.
+    Remember {
+        addrs: Vec<SocketAddrV4>,
+    },
+    /// A sentence for the log.
+    Note {
+        level: Level,
+        part: &'static str,
+        text: String,
+    },
+}
+
+/// One registrar.
+pub struct Registrar {
+    facts: RegistrarFacts,
+    desk: Option<Desk<Registrar, Slot>>,
+    now: Nanos,
+    /// None until the disk has been read.
+    views: Option<Views>,
+    views_due: Nanos,
+    in_force: InForce,
+    changes: Changes,
+    registry: Registry,
+    /// The registry's version that listeners have been told.
+    nodes_told: u64,
+    /// Lives of which something was first told here, for the other registrars.
+    first_here: BTreeSet<String>,
+    keeper: Keeper,
+    cut: Cut,
+    ears: Ears,
+    peers: Peers,
+    turned: Nanos,
+    pulse_at: Nanos,
+    beat_at: Nanos,
+    cut_look: bool,
+    disk_ok: bool,
+    lease: bool,
+    stopping: bool,
+    counters: Counters,
+    orders: VecDeque<Order>,
+}
+
+fn desk() -> Desk<Registrar, Slot> {
+    Desk::default()
+        .on::<Heartbeat>()
+        .on::<Deregister>()
+        .on::<Replace>()
+        .on::<Read>()
+        .on::<Readiness>()
+        .on::<Count>()
+}
+
+impl Registrar {
+    /// Knows no node and no configuration yet; beats are taken at once, the rest once the disk has been read.
+    pub fn new(facts: RegistrarFacts, now: Nanos) -> Registrar {
+        let doubt = facts.contact.times(2.0);
+        let mut peers = Peers::new(facts.addr, facts.suspect());
+        facts.seeds.iter().for_each(|seed| _ = peers.know(now, *seed));
+        Registrar {
+            desk: Some(desk()),
+            now,
+            views: None,
+            views_due: now,
+            in_force: InForce { order: 0, control: Control::default(), body: Arc::from([]), plan: None },
+            changes: Changes::default(),
+            registry: Registry::new(facts.beat, RegistryBounds::default()),
+            nodes_told: 0,
+            first_here: BTreeSet::new(),
+            keeper: Keeper::new(facts.beat, KeeperBounds { most_gateways: 1024, doubt }),
+            cut: Cut::default(),
+            ears: Ears::default(),
+            peers,
+            turned: now,
+            pulse_at: now,
+            beat_at: now,
+            cut_look: true,
+            disk_ok: true,
+            lease: false,
+            stopping: false,
+            counters: Counters::default(),
+            orders: VecDeque::new(),
+            facts,
+        }
+    }
+
+    // What comes in.
+
+    /// The disk has been read: what the register kept there, if anything, and the registrars once known. `fresh`
+    /// says that the disk was empty; an unreadable one is not.
+    pub fn disk_read(&mut self, now: Nanos, saved: Option<Saved>, known: &[SocketAddrV4], fresh: bool) {
+        self.tick(now);
+        let id = saved.as_ref().map_or(MemberId(self.facts.seed.max(1)), |saved| saved.me);
+        let facts = self.facts.views(id, self.facts.bootstrap && fresh);
+        let mut views = Views::new(self.facts.seed.rotate_left(17), facts, saved, now);
+        for addr in known {
+            self.peers.know(now, *addr);
+            views.know(now, *addr);
+        }
+        self.views = Some(views);
+        self.views_due = now;
+    }
+
+    /// A request of a node or an operator. The answer comes as an order, now or later.
+    pub fn call(&mut self, now: Nanos, slot: Slot, request: &Request) {
+        self.tick(now);
+        // The desk is lent out: what serves is this very registrar.
+        let Some(desk) = self.desk.take() else { return };
+        if let Served::Now(reply) = desk.serve(self, request, slot) {
+            self.orders.push_back(Order::Answer { slot, reply });
+        }
+        self.desk = Some(desk);
+    }
+
+    /// A caller has gone without waiting for the answer.
+    pub fn call_gone(&mut self, slot: Slot) {
+        self.changes.forget(Origin::Caller(slot));
+    }
+
+    /// A word of a listener, or of one who becomes it.
+    pub fn inward(&mut self, now: Nanos, ear: Ear, word: Inward) {
+        self.tick(now);
+        match word {
+            Inward::Attach { who, ready, share, order } => {
+                if self.keeper.alive(now, who.clone()) {
+                    self.cut_look = true;
+                }
+                let listener = Listener { who, ready, share, order };
+                self.welcome(ear, listener);
+            }
+            Inward::Alive { ready } => {
+                let Some(listener) = self.ears.list.get_mut(&ear) else { return };
+                listener.ready = ready;
+                let who = listener.who.clone();
+                self.keeper.alive(now, who);
+            }
+            Inward::Below(gateways) => {
+                for gateway in gateways.into_iter().take(MOST_TOLD) {
+                    self.keeper.alive(now, gateway);
+                }
+                self.cut_look = true;
+            }
+            Inward::Leaving => {
+                let Some(listener) = self.ears.list.remove(&ear) else { return };
+                let life = listener.who.life;
+                self.keeper.left(now, life);
+                self.cut_look = true;
+                self.say_all(|| PeerWord::GatewayLeft { life: life.0 });
+            }
+            Inward::Ask(question) => {
+                let text = self.answer(question);
+                self.orders.push_back(Order::Tell { to: vec![ear], word: Outward::Answer(text) });
+            }
+            // Told by the connection that it came on: see `peer`.
+            Inward::Peer(_) => {}
+        }
+    }
+
+    /// A listener's connection has gone. Its gateway may live: its beats say, not its connection.
+    pub fn ear_gone(&mut self, ear: Ear) {
+        self.ears.list.remove(&ear);
+    }
+
+    /// A word of the registrar that listens at `from`.
+    pub fn peer(&mut self, now: Nanos, from: SocketAddrV4, word: PeerWord) {
+        self.tick(now);
+        self.peers.heard(now, from, None);
+        match word {
+            PeerWord::Hello { zone, .. } => {
+                self.learn(from);
+                self.peers.heard(now, from, Some(&zone));
+                if self.peers.is_up(from) {
+                    self.tell_whole(from);
+                }
+            }
+            PeerWord::Views(word) => {
+                if let Some(views) = &mut self.views {
+                    views.heard(now, from, word);
+                    self.views_due = now;
+                }
+            }
+            PeerWord::Nodes(facts) => {
+                let changed = self.registry.told(now, &facts);
+                self.counters.add("nodes_told", changed as u64);
+            }
+            PeerWord::Heard(hashes) => {
+                let unknown = self.registry.heard_elsewhere(now, &hashes);
+                if !unknown.is_empty() {
+                    self.say(from, PeerWord::Want(unknown));
+                }
+            }
+            PeerWord::Want(hashes) => {
+                let facts = self.registry.facts_of(&hashes);
+                self.say(from, PeerWord::Nodes(facts));
+            }
+            PeerWord::Gateways(gateways) => {
+                self.keeper.told(now, &gateways);
+                self.cut_look = true;
+            }
+            PeerWord::GatewayLeft { life } => {
+                self.keeper.left(now, fernknot_duties::LifeId(life));
+                self.cut_look = true;
+            }
+            PeerWord::Cut(cut) => {
+                if cut.fence > self.cut.fence {
+                    self.keeper.learn(now, &cut);
+                    self.new_cut(cut.sorted());
+                }
+            }
+            PeerWord::Replace { call, base, body } => self.handed(from, call, base, body),
+            PeerWord::Replaced { call, status, why } => {
+                if let Some(origin) = self.changes.ended_elsewhere(now, from, call, status) {
+                    self.end(
+                        origin,
+                        match status {
+                            200 => Replaced::Taken,
+                            412 => Replaced::Other(why),
+                            _ => Replaced::Invalid(why),
+                        },
+                    );
+                }
+            }
+            PeerWord::Know(addrs) => {
+                for addr in addrs.into_iter().take(MOST_NAMED) {
+                    self.learn(addr);
+                }
+            }
+        }
+    }
+
+    /// The connection to a registrar is up.
+    pub fn opened(&mut self, now: Nanos, to: SocketAddrV4) {
+        self.tick(now);
+        self.peers.opened(to);
+        self.say(to, PeerWord::Hello { addr: self.facts.addr, zone: self.facts.zone.clone() });
+        let mut known = self.peers.all();
+        known.retain(|addr| *addr != to);
+        known.truncate(MOST_NAMED);
+        self.say(to, PeerWord::Know(known));
+        self.tell_whole(to);
+        // What is said between the members was dropped meanwhile.
+        self.views_due = now;
+    }
+
+    /// The connection to a registrar has gone, or never came up.
+    pub fn closed(&mut self, now: Nanos, to: SocketAddrV4) {
+        self.tick(now);
+        self.peers.closed(now, to);
+    }
+
+    /// The end of a write.
+    pub fn stored(&mut self, now: Nanos, ticket: Ticket, ok: bool) {
+        self.tick(now);
+        if let Some(views) = &mut self.views {
+            views.stored(now, ticket, ok);
+            self.views_due = now;
+        }
+        if !ok {
+            self.counters.add("disk_failures", 1);
+        }
+    }
+
+    /// How the disk is, as far as the host sees: not well when it hangs or could not be opened.
+    pub fn disk(&mut self, now: Nanos, ok: bool) {
+        self.tick(now);
+        if self.disk_ok != ok {
+            self.disk_ok = ok;
+            match ok {
+                true => self.note(Level::Info, part::DISK, "is well again".into()),
+                false => self.note(Level::Warn, part::DISK, "hangs or refuses".into()),
+            }
+            self.disk_word();
+        }
+    }
+
+    /// A registrar whose disk is not well, or who is about to stop, stores nothing further: the others go on.
+    fn disk_word(&mut self) {
+        let ok = self.disk_ok && !self.stopping;
+        if let Some(views) = &mut self.views {
+            views.disk_ok(self.now, ok);
+            self.views_due = self.now;
+        }
+    }
+
+    /// The settings name these registrars now.
+    pub fn seeds(&mut self, now: Nanos, seeds: &[SocketAddrV4]) {
+        self.tick(now);
+        seeds.iter().for_each(|seed| self.learn(*seed));
+    }
+
+    /// The order to stop: the sequencer's part goes to another.
+    pub fn stop(&mut self, now: Nanos) {
+        self.tick(now);
+        self.stopping = true;
+        self.disk_word();
+    }
+
+    /// True once nothing here is waited for by others.
+    pub fn may_end(&self) -> bool {
+        let alone = self.views.as_ref().and_then(Views::view).is_none_or(|view| view.members.len() < 2);
+        let out = self.views.as_ref().is_none_or(|views| {
+            !views.is_sequencer() && views.sequencer().is_none_or(|first| first.addr != self.facts.addr)
+        });
+        (alone || out) && self.changes.list.is_empty()
+    }
+
+    // What goes out.
+
+    /// The next thing to do, until there is none.
+    pub fn next(&mut self, now: Nanos) -> Option<Order> {
+        if self.orders.is_empty() {
+            self.tick(now);
+            self.work();
+        }
+        self.orders.pop_front()
+    }
+
+    /// When `next` is to be called again though nothing comes in.
+    pub fn due(&self) -> Nanos {
+        let mut due = self.pulse_at.min(self.beat_at);
+        if self.views.is_some() {
+            due = due.min(self.views_due);
+        }
+        [self.changes.due(self.now), self.peers.due()].into_iter().flatten().fold(due, Nanos::min)
+    }
+
+    /// True where a majority of the members was heard lately: what is held here is no older than that.
+    pub fn holds_lease(&self) -> bool {
+        self.views.as_ref().is_some_and(|views| views.holds_lease(self.now))
+    }
+
+    /// What has been counted here.
+    pub fn counters(&mut self) -> &mut Counters {
+        &mut self.counters
+    }
+
+    fn tick(&mut self, now: Nanos) {
+        // A gap of the loop: what was not heard meanwhile says nothing of those who were not heard.
+        if now - self.turned > self.facts.beat.times(2.0) {
+            self.registry.was_away(now);
+            self.keeper.was_away(now);
+            self.counters.add("was_away", 1);
+        }
+        self.now = self.now.max(now);
+        self.turned = self.now;
+    }
+
+    fn work(&mut self) {
+        let now = self.now;
+        self.drain_views();
+        for origin in self.changes.expire(now) {
+            self.counters.add("changes_unclear", 1);
+            self.end(origin, Replaced::Unclear("no end in time; it may be repeated unchanged"));
+        }
+        if !self.changes.list.is_empty() {
+            self.step_changes();
+            self.drain_views();
+        }
+        if self.beat_at <= now {
+            self.beat_at = now + self.facts.beat.times(0.5);
+            self.half_beat();
+        }
+        self.tell_first_here();
+        self.tell_nodes();
+        if self.cut_look || self.pulse_at <= now {
+            self.cut_look = false;
+            self.look_at_cut();
+        }
+        if self.pulse_at <= now {
+            self.pulse_at = now + self.facts.pulse();
+            self.pulse();
+        }
+        while let Some(what) = self.peers.next(now) {
+            self.orders.push_back(match what {
+                Do::Connect(to) => Order::Connect { to },
+                Do::GiveUp(to) => Order::GiveUp { to },
+            });
+        }
+    }
+
+    // The control state.
+
+    fn drain_views(&mut self) {
+        let now = self.now;
+        while let Some(order) = self.views.as_mut().and_then(|views| views.next(now)) {
+            match order {
+                ViewOrder::Say { to, word } => {
+                    self.learn(to);
+                    // A word for one who is out of reach is lost: the members say again what counts.
+                    self.say(to, PeerWord::Views(word));
+                }
+                ViewOrder::Store { ticket, saved } => {
+                    self.orders.push_back(Order::Store { ticket, saved });
+                }
+                ViewOrder::Deliver { no, state, .. } => self.delivered(no, &state),
+                ViewOrder::Taken { proposal, .. } => {
+                    let taken = |stage: Stage| stage == Stage::Proposed(proposal);
+                    let ends: Vec<Origin> = self
+                        .changes
+                        .list
+                        .iter()
+                        .filter(|change| taken(change.stage))
+                        .map(|c| c.origin)
+                        .collect();
+                    self.changes.list.retain(|change| !taken(change.stage));
+                    ends.into_iter().for_each(|origin| self.end(origin, Replaced::Taken));
+                }
+                ViewOrder::Refused { proposal } => self.changes.unpropose(now, Some(proposal)),
+                ViewOrder::Entered { view } => {
+                    let names: Vec<String> =
+                        view.members.iter().map(|member| member.addr.ip().to_string()).collect();
+                    let text = format!("view {} with {} is in force", view.no.0, names.join(", "));
+                    self.note(Level::Info, part::VIEWS, text);
+                    self.changes.unpropose(now, None);
+                    view.members.iter().for_each(|member| self.learn(member.addr));
+                    self.cut_look = true;
+                }
+                ViewOrder::Left => self.note(Level::Warn, part::VIEWS, "in no view any more".into()),
+                ViewOrder::Wake { after } => self.views_due = now + after,
+            }
+        }
+        let lease = self.holds_lease();
+        if lease != self.lease {
+            self.lease = lease;
+            let text = if lease { "a majority is heard" } else { "no majority is heard" };
+            self.note(Level::Info, part::VIEWS, text.into());
+        }
+    }
+
+    fn delivered(&mut self, no: OrderNo, state: &[u8]) {
+        let control = match Control::read(state) {
+            Ok(control) => control,
+            Err(why) => return self.note(Level::Error, part::PLAN, why.to_string()),
+        };
+        let plan = match control.body.is_empty() {
+            true => None,
+            false => match Plan::read(&control.body) {
+                Ok(plan) => Some(plan),
+                Err(faults) => {
+                    let why = faults.first().map(ToString::to_string).unwrap_or_default();
+                    return self.note(
+                        Level::Error,
+                        part::PLAN,
+                        format!("read version {}: {why}", control.epoch),
+                    );
+                }
+            },
+        };
+        if control.epoch != self.in_force.control.epoch {
+            let routes = plan.as_ref().map_or(0, |plan| plan.routes.len());
+            let text = format!("version {} is in force, {routes} routes", control.epoch);
+            self.note(Level::Info, part::PLAN, text);
+        }
+        let body = Arc::from(&control.body[..]);
+        self.in_force = InForce { order: no.0, control, body, plan };
+        for origin in self.changes.settle(&self.in_force.control) {
+            self.end(origin, Replaced::Taken);
+        }
+        let order = no.0;
+        let behind: Vec<Ear> = self
+            .ears
+            .list
+            .iter()
+            .filter(|(_, listener)| listener.order < order)
+            .map(|(ear, _)| *ear)
+            .collect();
+        self.tell_plan(behind);
+    }
+
+    fn tell_plan(&mut self, to: Vec<Ear>) {
+        let Some(plan) = self.in_force.plan.clone().filter(|_| !to.is_empty()) else { return };
+        let order = self.in_force.order;
+        for ear in &to {
+            if let Some(listener) = self.ears.list.get_mut(ear) {
+                listener.order = order;
+            }
+        }
+        self.orders.push_back(Order::Tell { to, word: Outward::Plan { order, plan } });
+    }
+
+    fn end(&mut self, origin: Origin, end: Replaced) {
+        let (status, why) = end.status();
+        match status {
+            200 => self.counters.add("changes_taken", 1),
+            503 => {}
+            _ => {
+                self.counters.add("changes_refused", 1);
+                self.note(Level::Info, part::PLAN, format!("a change was refused with {status}: {why}"));
+            }
+        }
+        match origin {
+            Origin::Caller(slot) => self.orders.push_back(Order::Answer { slot, reply: end.into() }),
+            Origin::Peer(to, call) => self.say(to, PeerWord::Replaced { call, status, why }),
+        }
+    }
+
+    /// A change that came to another registrar. What it has checked is checked again: a word may be garbled in ways
+    /// that no sum of the transport finds, and only what is sound may go into the order.
+    fn handed(&mut self, from: SocketAddrV4, call: u64, base: u64, body: Vec<u8>) {
+        let origin = Origin::Peer(from, call);
+        let epoch = match Plan::read(&body) {
+            Ok(plan) => plan.epoch,
+            Err(_) => return self.end(origin, Replaced::Invalid("cannot be read".into())),
+        };
+        let until = self.now + CALL_WITHIN.times(SEQUENCER_SHARE);
+        let what = (base, epoch, digest(&body));
+        if !self.changes.take(self.now, origin, what, body, until) {
+            self.end(origin, Replaced::Unclear("too many changes at once"));
+        }
+    }
+
+    fn step_changes(&mut self) {
+        let now = self.now;
+        let Some(views) = &self.views else { return };
+        let leads = views.is_sequencer();
+        let first = views.sequencer().map(|first| first.addr);
+        let sequencer = first.filter(|first| *first != self.facts.addr && self.peers.is_up(*first));
+        self.changes.handed_only_to(sequencer);
+        let mut ends = Vec::new();
+        let mut says = Vec::new();
+        let mut proposes = None;
+        let mut flies = self.changes.list.iter().any(|change| matches!(change.stage, Stage::Proposed(_)));
+        for change in &mut self.changes.list {
+            if change.stage != Stage::Waits || change.not_before > now {
+                continue;
+            }
+            if let Verdict::End(Replaced::Taken) = judge(&self.in_force.control, change) {
+                ends.push((change.call, change.origin, Replaced::Taken));
+            } else if leads && !flies {
+                match judge(&self.in_force.control, change) {
+                    Verdict::End(end) => ends.push((change.call, change.origin, end)),
+                    Verdict::Propose => {
+                        flies = true;
+                        change.stage = Stage::Proposed(change.call);
+                        proposes = Some((
+                            change.call,
+                            change.epoch,
+                            change.base,
+                            change.digest,
+                            change.body.clone(),
+                        ));
+                    }
+                }
+            } else if let (Some(to), Origin::Caller(_)) = (sequencer, change.origin) {
+                let (call, base, body) = (change.call, change.base, change.body.clone());
+                says.push((to, PeerWord::Replace { call, base, body }));
+                change.stage = Stage::HandedTo(to);
+            } else if let (false, Origin::Peer(..)) = (leads, change.origin) {
+                ends.push((change.call, change.origin, Replaced::Unclear("no sequencer here")));
+            }
+        }
+        self.changes.list.retain(|change| ends.iter().all(|(call, _, _)| *call != change.call));
+        for (_, origin, end) in ends {
+            self.end(origin, end);
+        }
+        for (to, word) in says {
+            self.say(to, word);
+        }
+        if let Some((call, epoch, base, digest, body)) = proposes {
+            let state = self.in_force.control.with(Taken { epoch, base, digest }, body).write();
+            let order = OrderNo(self.in_force.order);
+            if let Some(views) = &mut self.views {
+                views.propose(now, call, order, state);
+            }
+        }
+    }
+
+    // The other registrars.
+
+    fn say(&mut self, to: SocketAddrV4, word: PeerWord) {
+        if self.peers.is_up(to) {
+            self.orders.push_back(Order::Say { to, word });
+        }
+    }
+
+    fn say_all(&mut self, word: impl Fn() -> PeerWord) {
+        for to in self.peers.up() {
+            self.say(to, word());
+        }
+    }
+
+    /// All that is known of nodes and gateways, to one who may know little.
+    fn tell_whole(&mut self, to: SocketAddrV4) {
+        let (_, facts) = self.registry.snapshot();
+        for facts in facts.chunks(MOST_TOLD) {
+            self.say(to, PeerWord::Nodes(facts.to_vec()));
+        }
+        if self.cut.fence != Fence::default() {
+            let cut = self.cut.clone();
+            self.say(to, PeerWord::Cut(cut));
+        }
+    }
+
+    fn learn(&mut self, addr: SocketAddrV4) {
+        if !self.peers.know(self.now, addr) {
+            return;
+        }
+        if let Some(views) = &mut self.views {
+            views.know(self.now, addr);
+            self.views_due = self.now;
+        }
+        self.note(Level::Info, part::LINKS, format!("a registrar may be at {addr}"));
+        let addrs = self.peers.all();
+        self.orders.push_back(Order::Remember { addrs });
+    }
+
+    fn half_beat(&mut self) {
+        let now = self.now;
+        let heard = self.registry.heard_lately(now);
+        let lives = self.keeper.heard_lately(now);
+        let gateways = self.keeper.gateways_of(&lives);
+        let up = self.peers.up();
+        for to in &up {
+            for heard in heard.chunks(MOST_TOLD) {
+                self.say(*to, PeerWord::Heard(heard.to_vec()));
+            }
+            if !gateways.is_empty() {
+                self.say(*to, PeerWord::Gateways(gateways.clone()));
+            }
+        }
+        if !self.holds_lease() {
+            // Who beats at the others is not known here: nobody is lost for it.
+            self.registry.was_away(now);
+        }
+        let lost = self.registry.expire(now);
+        if lost > 0 {
+            self.counters.add("nodes_lost", lost as u64);
+            self.note(Level::Info, part::NODES, format!("{lost} fell silent, {} are up", self.registry.up()));
+        }
+    }
+
+    /// What nodes said here goes to the other registrars at once.
+    fn tell_first_here(&mut self) {
+        if self.first_here.is_empty() {
+            return;
+        }
+        let hashes: Vec<u64> = std::mem::take(&mut self.first_here).iter().map(|id| life_hash(id)).collect();
+        let facts = self.registry.facts_of(&hashes);
+        self.say_all(|| PeerWord::Nodes(facts.clone()));
+    }
+
+    // The gateways.
+
+    fn welcome(&mut self, ear: Ear, listener: Listener) {
+        let behind = listener.order < self.in_force.order;
+        let (_, facts) = self.registry.snapshot();
+        let facts = listener.share_of(&facts);
+        self.ears.list.insert(ear, listener);
+        if behind {
+            self.tell_plan(vec![ear]);
+        }
+        let cut = (self.cut.fence != Fence::default()).then(|| Outward::Cut(self.cut.clone()));
+        let pulse = self.pulse_word();
+        let words = cut.into_iter().chain([Outward::Nodes(facts), Outward::Whole, pulse]);
+        self.orders.extend(words.map(|word| Order::Tell { to: vec![ear], word }));
+    }
+
+    fn tell_nodes(&mut self) {
+        if self.registry.version() == self.nodes_told {
+            return;
+        }
+        let (version, facts) =
+            self.registry.changes_since(self.nodes_told).unwrap_or_else(|| self.registry.snapshot());
+        self.nodes_told = version;
+        if facts.is_empty() {
+            return;
+        }
+        let all: Vec<Ear> =
+            self.ears.list.iter().filter(|(_, listener)| listener.wants_all()).map(|(ear, _)| *ear).collect();
+        for (ear, listener) in self.ears.list.iter().filter(|(_, listener)| !listener.wants_all()) {
+            let share = listener.share_of(&facts);
+            if !share.is_empty() {
+                self.orders.push_back(Order::Tell { to: vec![*ear], word: Outward::Nodes(share) });
+            }
+        }
+        if !all.is_empty() {
+            self.orders.push_back(Order::Tell { to: all, word: Outward::Nodes(facts) });
+        }
+    }
+
+    fn look_at_cut(&mut self) {
+        let Some(views) = &self.views else { return };
+        // Who is cut off from the majority must not cut: its fence would be refused, its count be wrong.
+        let leads = views.is_sequencer() && views.holds_lease(self.now);
+        let view = views.view().map_or(0, |view| view.no.0 as u32);
+        if let Some(cut) = self.keeper.recut(self.now, view, leads) {
+            self.say_all(|| PeerWord::Cut(cut.clone()));
+            self.new_cut(cut);
+        }
+    }
+
+    fn new_cut(&mut self, cut: Cut) {
+        let text = format!(
+            "cut {}.{} has {} gateways of {} that may be alive",
+            cut.fence.view(),
+            cut.fence.count(),
+            cut.live.len(),
+            cut.may_be_alive
+        );
+        self.note(Level::Info, part::DUTIES, text);
+        self.cut = cut;
+        let to = self.ears.all();
+        if !to.is_empty() {
+            self.orders.push_back(Order::Tell { to, word: Outward::Cut(self.cut.clone()) });
+        }
+    }
+
+    fn pulse_word(&mut self) -> Outward {
+        let mut registrars = vec![Told { addr: self.facts.addr, zone: self.facts.zone.clone() }];
+        let view = self.views.as_ref().and_then(Views::view);
+        let members = view.into_iter().flat_map(|view| &view.members);
+        let named = members.map(|member| (member.addr, member.zone.clone()));
+        let up = self.peers.up();
+        let heard = up.iter().filter_map(|addr| Some((*addr, self.peers.zone(*addr)?.to_string())));
+        for (addr, zone) in named.chain(heard) {
+            if registrars.len() < MOST_NAMED && registrars.iter().all(|known| known.addr != addr) {
+                registrars.push(Told { addr, zone });
+            }
+        }
+        let lease = self.holds_lease() && !self.stopping;
+        let gateways = self.keeper.may_be_alive(self.now) as u32;
+        Outward::Pulse {
+            teller: self.facts.seed,
+            order: self.in_force.order,
+            lease,
+            registrars,
+            gateways,
+            hops: 0,
+        }
+    }
+
+    fn pulse(&mut self) {
+        let to = self.ears.all();
+        if !to.is_empty() {
+            let word = self.pulse_word();
+            self.orders.push_back(Order::Tell { to, word });
+        }
+    }
+
+    // Words for people.
+
+    fn note(&mut self, level: Level, part: &'static str, text: String) {
+        self.orders.push_back(Order::Note { level, part, text });
+    }
+
+    fn levels(&mut self) {
+        let view = self.views.as_ref().and_then(Views::view).map_or(0, |view| view.no.0);
+        let levels = [
+            ("view", view),
+            ("epoch", self.in_force.control.epoch),
+            ("order", self.in_force.order),
+            ("lease", self.holds_lease() as u64),
+            ("nodes_up", self.registry.up() as u64),
+            ("listeners", self.ears.list.len() as u64),
+            ("peers_up", self.peers.up().len() as u64),
+            ("fence", self.cut.fence.0),
+            ("disk_ok", self.disk_ok as u64),
+        ];
+        levels.into_iter().for_each(|(name, level)| self.counters.set(name, level));
+    }
+
+    fn answer(&mut self, question: Question) -> String {
+        let mut out = String::new();
+        // Writing to a string does not fail.
+        match question {
+            Question::Nodes => {
+                let (version, mut facts) = self.registry.snapshot();
+                facts.sort_by(|a, b| (&a.service, &a.id).cmp(&(&b.service, &b.id)));
+                let _ = writeln!(out, "{} nodes up, change {version}", self.registry.up());
+                for fact in facts {
+                    let NodeFact { id, service, addr, zone, state, .. } = fact;
+                    let _ = writeln!(out, "{service} {id} {addr} {zone} {state:?}");
+                }
+            }
+            Question::Views => {
+                let view = self.views.as_ref().and_then(Views::view);
+                let _ = match view {
+                    Some(view) => writeln!(out, "view {}, order {}", view.no.0, self.in_force.order),
+                    None => writeln!(out, "in no view"),
+                };
+                for member in view.into_iter().flat_map(|view| &view.members) {
+                    let _ = writeln!(out, "{} {}", member.addr, member.zone);
+                }
+                let _ = writeln!(out, "majority heard: {}", self.holds_lease());
+            }
+            Question::Homes | Question::Duties => {
+                let (cut, fence) = (&self.cut, self.cut.fence);
+                let _ = writeln!(
+                    out,
+                    "cut {}.{}, {} may be alive",
+                    fence.view(),
+                    fence.count(),
+                    cut.may_be_alive
+                );
+                for gateway in &cut.live {
+                    let _ = writeln!(out, "{:016x} {} {}", gateway.life.0, gateway.addr, gateway.zone);
+                }
+            }
+            Question::Counters => {
+                self.levels();
+                out = self.counters.json();
+            }
+        }
+        out
+    }
+}
+
+impl Serve<Heartbeat, Slot> for Registrar {
+    fn serve(&mut self, call: Heartbeat, _: Slot) -> Option<NodeHeard> {
+        let Heartbeat { id, beat } = call;
+        self.counters.add("beats", 1);
+        let state = match beat.state {
+            Beats::Ready => NodeState::Ready,
+            Beats::Draining => NodeState::Draining,
+        };
+        // The word that it leaves must reach all gateways in touch: who is cut off can't promise that.
+        if state == NodeState::Draining && !self.may_promise() {
+            return Some(NodeHeard::No("cut off from the others; tell another that you leave"));
+        }
+        let fact = NodeFact {
+            id,
+            service: beat.backend,
+            addr: beat.address,
+            zone: beat.zone,
+            state,
+            capacity: beat.capacity,
+            warm_left_ms: beat.warmup_left_ms,
+            seq: beat.call_seq,
+        };
+        let id = fact.id.clone();
+        Some(self.noted(id, |registry, now| registry.beat(now, fact)))
+    }
+}
+
+impl Serve<Deregister, Slot> for Registrar {
+    fn serve(&mut self, call: Deregister, _: Slot) -> Option<NodeHeard> {
+        self.counters.add("leaves", 1);
+        if !self.may_promise() {
+            return Some(NodeHeard::No("cut off from the others; tell another that you end"));
+        }
+        let id = call.id;
+        Some(self.noted(id.clone(), |registry, now| registry.leave(now, &id)))
+    }
+}
+
+impl Registrar {
+    /// Whether what is acknowledged here reaches all gateways in touch.
+    fn may_promise(&mut self) -> bool {
+        let may = self.holds_lease();
+        if !may {
+            self.counters.add("leaves_refused", 1);
+        }
+        may
+    }
+
+    fn noted(&mut self, id: String, note: impl FnOnce(&mut Registry, Nanos) -> Noted) -> NodeHeard {
+        let noted = note(&mut self.registry, self.now);
+        if noted.is_news() {
+            self.first_here.insert(id);
+        }
+        match noted {
+            Noted::Refused => NodeHeard::No("no room for another node"),
+            _ => NodeHeard::Yes,
+        }
+    }
+}
+
+impl Serve<Replace, Slot> for Registrar {
+    fn serve(&mut self, call: Replace, slot: Slot) -> Option<Replaced> {
+        self.counters.add("changes", 1);
+        if self.in_force.control.has_taken(call.epoch, call.digest) {
+            return Some(Replaced::Taken);
+        }
+        if self.stopping {
+            return Some(Replaced::Unclear("about to stop"));
+        }
+        let (origin, until) = (Origin::Caller(slot), self.now + CALL_WITHIN);
+        let what = (call.base, call.epoch, call.digest);
+        let taken = self.changes.take(self.now, origin, what, call.body, until);
+        (!taken).then_some(Replaced::Unclear("too many changes at once"))
+    }
+}
+
+impl Serve<Read, Slot> for Registrar {
+    fn serve(&mut self, _: Read, _: Slot) -> Option<Newest> {
+        Some(match (self.holds_lease(), self.in_force.plan.is_some()) {
+            (false, _) => Newest::Unsure,
+            (true, false) => Newest::None,
+            (true, true) => Newest::Body(self.in_force.body.clone()),
+        })
+    }
+}
+
+impl Serve<Readiness, Slot> for Registrar {
+    fn serve(&mut self, _: Readiness, _: Slot) -> Option<Ready> {
+        Some(Ready(self.holds_lease() && !self.stopping))
+    }
+}
+
+impl Serve<Count, Slot> for Registrar {
+    fn serve(&mut self, _: Count, _: Slot) -> Option<Counted> {
+        self.levels();
+        Some(Counted(self.counters.json()))
+    }
+}
