Let a whole list come to the pool in pieces

Cause: tellers send facts and then say that this was all, and the pool knew only lists that come at once, so what no registrar knows any more would stay for ever. Change: a mark when the telling begins, and its end.

--- a/crates/fernknot-registry/src/pool.rs
+++ b/crates/fernknot-registry/src/pool.rs
@@ -30,6 +30,8 @@
     fact: NodeFact,
     /// It said that it is leaving; kept apart, so that a loss in between doesn't undo it.
     drains: bool,
+    /// The telling that last named it.
+    named: u64,
     /// Time during which a teller was well, when a whole list first didn't name this life.
     doubted: Option<Nanos>,
     out_since: Option<Nanos>,
@@ -44,6 +46,8 @@
     by_service: BTreeMap<String, BTreeSet<String>>,
     by_addr: HashMap<SocketAddrV4, String>,
     changed: BTreeSet<String>,
+    /// Tellings taken so far.
+    takes: u64,
     /// How long tellers were well, in all.
     well: Nanos,
     pulsed: Option<Nanos>,
@@ -60,6 +64,7 @@
             by_service: BTreeMap::new(),
             by_addr: HashMap::new(),
             changed: BTreeSet::new(),
+            takes: 0,
             well: Nanos(0),
             pulsed: None,
             now: Nanos(0),
@@ -69,26 +74,37 @@
     /// Changes came from a teller.
     pub fn take(&mut self, now: Nanos, facts: &[NodeFact]) {
         self.now = self.now.max(now);
+        self.takes += 1;
         let (up, out): (Vec<&NodeFact>, Vec<&NodeFact>) = facts.iter().partition(|fact| fact.is_up());
         for fact in out.into_iter().chain(up) {
             self.take_one(fact);
         }
     }
 
-    /// A whole list of some services, or of all, came from a teller. Lives of these that it doesn't name stay: a
-    /// registrar that has just restarted names few. They are dropped only if a well teller doesn't name them for long.
-    pub fn take_whole(&mut self, now: Nanos, services: Option<&[String]>, facts: &[NodeFact]) {
-        self.take(now, facts);
-        let named: BTreeSet<&str> = facts.iter().map(|fact| fact.id.as_str()).collect();
-        let well = self.well;
-        for (id, held) in &mut self.lives {
+    /// Where this list stands now: to be kept when a teller begins to tell the whole, for [`Self::whole_told`].
+    pub fn mark(&self) -> u64 {
+        self.takes
+    }
+
+    /// A teller that began at a mark has told all of some services, or of all. Lives of these that nobody named since
+    /// stay: a registrar that has just restarted names few. They are dropped only if well tellers don't name them for
+    /// long.
+    pub fn whole_told(&mut self, since: u64, services: Option<&[String]>) {
+        for held in self.lives.values_mut() {
             let asked = services.is_none_or(|services| services.contains(&held.fact.service));
-            if asked && held.fact.is_up() && !named.contains(id.as_str()) {
-                held.doubted.get_or_insert(well);
+            if asked && held.fact.is_up() && held.named <= since {
+                held.doubted.get_or_insert(self.well);
             }
         }
     }
 
+    /// A whole list came at once; see [`Self::whole_told`].
+    pub fn take_whole(&mut self, now: Nanos, services: Option<&[String]>, facts: &[NodeFact]) {
+        let since = self.mark();
+        self.take(now, facts);
+        self.whole_told(since, services);
+    }
+
     /// A pulse of a teller that is well (has a lease, is in touch with the rest).
     pub fn teller_well(&mut self, now: Nanos) {
         self.now = self.now.max(now);
@@ -164,7 +180,8 @@
         }
         let (before, changed) = match self.lives.get_mut(id) {
             None => {
-                let held = Held { fact: told.clone(), drains: false, doubted: None, out_since: None };
+                let held =
+                    Held { fact: told.clone(), drains: false, named: 0, doubted: None, out_since: None };
                 self.lives.insert(id.clone(), held);
                 (None, true)
             }
@@ -174,7 +191,7 @@
             }
         };
         let Some(held) = self.lives.get_mut(id) else { return };
-        held.doubted = None;
+        (held.doubted, held.named) = (None, self.takes);
         held.drains |= told.state == NodeState::Draining;
         if held.drains && held.fact.state == NodeState::Ready {
             held.fact.state = NodeState::Draining;
