Keep values on disk in generations that are built, read back and sealed

A failed write spoils a fjall handle, and a failed sync may leave pages that are read but not stored. A hole in the last write, which fjall takes for damage, is cut before opening.

--- a/crates/fernknot-cistern/src/cistern.rs
+++ b/crates/fernknot-cistern/src/cistern.rs
@@ -1,16 +1,23 @@
-//! The host of the keeper: a thread, its queue and the folder.
+//! The host of the keeper: a thread, its bounded queue and its waker.
 
+use std::collections::{BTreeMap, VecDeque};
 use std::path::PathBuf;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use fernknot::interface::Nanos;
+
 use crate::error::{Step, StoreError};
+use crate::folder::Folder;
+use crate::keeper::{Keeper, Measures, Values};
 
-/// What a cistern may take up. Ratios to what the process was given.
+/// What a cistern may take up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Space {
-    /// How many writes may wait at once.
+    /// How many writes may wait at once, those that ended and were not fetched included.
     pub slots: usize,
-    /// The most bytes that the folder should grow to.
+    /// The bytes that the disk gives; bounds in the folder are ratios to it.
     pub disk_bytes: u64,
 }
 
@@ -19,33 +26,88 @@
 #[error("no slot is free: the disk is behind")]
 pub struct Full;
 
+/// Called on the cistern's thread.
+pub type Waker = Box<dyn Fn() + Send>;
+
 /// What lies on disk, and the thread that keeps it. Dropping it asks the thread to end and does not
 /// wait: a disk that hangs must not hold up the end of the process.
-pub struct Cistern {}
+#[derive(Debug)]
+pub struct Cistern {
+    shared: Arc<Shared>,
+    slots: usize,
+    thread: Option<JoinHandle<()>>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    /// Something was handed over, or the end is asked for.
+    handed: Condvar,
+    /// The folder was read, or could not be.
+    read: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    queue: VecDeque<(u64, String, Vec<u8>)>,
+    /// By the order of handing over: ticket and time.
+    waiting: BTreeMap<u64, (u64, Instant)>,
+    taken: u64,
+    done: Vec<(u64, Result<(), StoreError>)>,
+    /// Whether the folder was read, once that was tried.
+    loaded: Option<Result<(), StoreError>>,
+    kept: Values,
+    sound: bool,
+    ending: bool,
+}
+
+impl Shared {
+    /// No code that can panic runs under this lock, so a poisoned one is as good as any.
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
 
 impl Cistern {
-    /// Opens the folder and starts the thread. `waker` is called on that thread whenever something
-    /// is done. Blocks until the folder is open or has failed to open once.
+    /// Starts the thread, which opens the folder. `waker` is called on that thread whenever a write
+    /// has come to its end and whenever [`Cistern::loaded`] or [`Cistern::sound`] changes.
     ///
     /// # Errors
     ///
     /// The thread could not be started. A folder that does not open is no error here: the thread
-    /// tries again, and until then writes are refused.
-    pub fn open(
-        _dir: PathBuf,
-        _space: Space,
-        _waker: Option<Box<dyn Fn() + Send>>,
-    ) -> Result<Cistern, StoreError> {
-        Ok(Cistern {})
+    /// goes on trying, and until then writes are refused.
+    pub fn open(dir: PathBuf, space: Space, waker: Option<Waker>) -> Result<Cistern, StoreError> {
+        let shared = Arc::new(Shared::default());
+        let theirs = shared.clone();
+        let keeper = Keeper::new(Measures::of_disk(space.disk_bytes));
+        let thread = std::thread::Builder::new()
+            .name("cistern".into())
+            .spawn(move || run(&theirs, keeper, Folder::new(dir), waker))
+            .map_err(StoreError::at(Step::Open))?;
+        Ok(Cistern { shared, slots: space.slots, thread: Some(thread) })
     }
 
-    /// The value last stored under a key. Blocks; meant for the start, before the loop.
+    /// The value last stored under a key. Blocks until the folder was read or could not be; meant
+    /// for the start, before the loop.
     ///
     /// # Errors
     ///
-    /// The folder could not be opened or read; nothing is known of what lies there.
-    pub fn load(&self, _key: &str) -> Result<Option<Vec<u8>>, StoreError> {
-        Err(StoreError::new(Step::Read, "nothing here yet"))
+    /// The folder could not be opened or read yet: nothing is known of what lies there.
+    pub fn load(&self, key: &str) -> Result<Option<Vec<u8>>, StoreError> {
+        let mut state = self.shared.lock();
+        loop {
+            match &state.loaded {
+                Some(Ok(())) => return Ok(state.kept.get(key).map(|value| value.to_vec())),
+                Some(Err(error)) => return Err(error.clone()),
+                None => state = self.shared.read.wait(state).unwrap_or_else(PoisonError::into_inner),
+            }
+        }
+    }
+
+    /// Whether [`Cistern::load`] has an answer, and which; never blocks. An error may turn into `Ok`
+    /// later, when the folder opens after all.
+    pub fn loaded(&self) -> Option<Result<(), StoreError>> {
+        self.shared.lock().loaded.clone()
     }
 
     /// Hands a value over to be stored under a key. Its end comes by [`Cistern::done`], with the
@@ -54,27 +116,128 @@
     /// # Errors
     ///
     /// No slot is free.
-    pub fn submit(&self, _ticket: u64, _key: impl Into<String>, _value: Vec<u8>) -> Result<(), Full> {
-        Err(Full)
+    pub fn submit(&self, ticket: u64, key: impl Into<String>, value: Vec<u8>) -> Result<(), Full> {
+        let mut state = self.shared.lock();
+        if state.waiting.len() + state.done.len() >= self.slots {
+            return Err(Full);
+        }
+        let number = state.taken;
+        state.taken += 1;
+        state.waiting.insert(number, (ticket, Instant::now()));
+        state.queue.push_back((number, key.into(), value));
+        drop(state);
+        self.shared.handed.notify_one();
+        Ok(())
     }
 
-    /// What has come to its end since the last call. `Ok` means written and synced.
+    /// What has come to its end since the last call. `Ok` means that the value, or a newer one that
+    /// was handed over under the same key, is written and synced. After an error it may be there or
+    /// not.
     pub fn done(&self) -> Vec<(u64, Result<(), StoreError>)> {
-        Vec::new()
+        std::mem::take(&mut self.shared.lock().done)
     }
 
     /// How long the oldest write that has not come to its end has been waiting.
-    pub fn oldest_wait(&self, _now: Instant) -> Option<Duration> {
-        None
+    pub fn oldest_wait(&self, now: Instant) -> Option<Duration> {
+        let state = self.shared.lock();
+        state.waiting.values().next().map(|(_, since)| now.saturating_duration_since(*since))
     }
 
-    /// How many writes wait.
+    /// How many writes have not come to their end.
     pub fn waiting(&self) -> usize {
-        0
+        self.shared.lock().waiting.len()
     }
 
-    /// Whether the folder is open and trusted at this moment.
+    /// Whether there is an open store that is trusted. While there is none, writes are refused.
     pub fn sound(&self) -> bool {
-        false
+        self.shared.lock().sound
+    }
+
+    /// Ends the thread once all that was handed over has come to its end, and waits for that.
+    pub fn close(mut self) {
+        self.end();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+
+    fn end(&self) {
+        self.shared.lock().ending = true;
+        self.shared.handed.notify_one();
+    }
+}
+
+impl Drop for Cistern {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+fn run(shared: &Shared, mut keeper: Keeper, mut folder: Folder, waker: Option<Waker>) {
+    let start = Instant::now();
+    let now = || Nanos(u64::try_from(start.elapsed().as_nanos()).unwrap_or(u64::MAX));
+    loop {
+        while let Some(order) = keeper.next(now()) {
+            let end = folder.carry_out(order);
+            if let Err(error) = &end {
+                log::warn!("{error}");
+            }
+            keeper.ended(end, now());
+            show(shared, &mut keeper, waker.as_ref());
+            take(&mut shared.lock(), &mut keeper);
+        }
+        // Refusals come without an order.
+        show(shared, &mut keeper, waker.as_ref());
+        let mut state = shared.lock();
+        if state.queue.is_empty() {
+            if state.ending {
+                return;
+            }
+            state = match keeper.wake_at() {
+                Some(at) => {
+                    let pause = Duration::from_nanos((at - now()).0).max(Duration::from_millis(1));
+                    let waited = shared.handed.wait_timeout(state, pause);
+                    waited.unwrap_or_else(PoisonError::into_inner).0
+                }
+                None => shared.handed.wait(state).unwrap_or_else(PoisonError::into_inner),
+            };
+        }
+        take(&mut state, &mut keeper);
+    }
+}
+
+fn take(state: &mut State, keeper: &mut Keeper) {
+    for (number, key, value) in state.queue.drain(..) {
+        keeper.submit(number, key, value);
+    }
+}
+
+/// Makes what the keeper knows visible, and wakes the host where that changed something.
+fn show(shared: &Shared, keeper: &mut Keeper, waker: Option<&Waker>) {
+    let reports = keeper.reports();
+    let mut state = shared.lock();
+    let mut changed = !reports.is_empty() || state.sound != keeper.sound();
+    state.sound = keeper.sound();
+    for (number, end) in reports {
+        if let Some((ticket, _)) = state.waiting.remove(&number) {
+            state.done.push((ticket, end));
+        }
+    }
+    // The values are shared, so this copies a few pointers.
+    let loaded = match (keeper.kept(), keeper.trouble()) {
+        (Some(kept), _) => {
+            state.kept.clone_from(kept);
+            Some(Ok(()))
+        }
+        (None, trouble) => trouble.cloned().map(Err),
+    };
+    if loaded.is_some() && loaded != state.loaded {
+        state.loaded = loaded;
+        shared.read.notify_all();
+        changed = true;
+    }
+    drop(state);
+    if let (true, Some(waker)) = (changed, waker) {
+        waker();
     }
 }
--- a/crates/fernknot-cistern/src/error.rs
+++ b/crates/fernknot-cistern/src/error.rs
@@ -9,6 +9,9 @@
     Insert,
     Sync,
     Read,
+    /// Making a new generation the one that counts.
+    Seal,
+    Remove,
 }
 
 impl fmt::Display for Step {
@@ -18,6 +21,8 @@
             Step::Insert => "insert",
             Step::Sync => "sync",
             Step::Read => "read",
+            Step::Seal => "seal",
+            Step::Remove => "remove",
         })
     }
 }
@@ -34,4 +39,9 @@
     pub fn new(step: Step, why: impl fmt::Display) -> StoreError {
         StoreError { step, why: why.to_string() }
     }
+
+    /// Turns any error of a step into this one.
+    pub(crate) fn at<E: fmt::Display>(step: Step) -> impl Fn(E) -> StoreError {
+        move |why| StoreError::new(step, why)
+    }
 }
--- /dev/null
+++ b/crates/fernknot-cistern/src/folder.rs
@@ -0,0 +1,250 @@
+//! The keeper's orders on files. Each generation is a folder with a number for its name, holding a
+//! `fjall` store and, once it is sealed, the file `sealed`.
+
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::{Path, PathBuf};
+
+use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
+
+use crate::error::{Step, StoreError};
+use crate::journal;
+use crate::keeper::{Generation, Order, Outcome, Values};
+
+const KEYSPACE: &str = "kept";
+const SEAL: &str = "sealed";
+/// A file that every whole store has; without it `fjall` would take the folder for a new one.
+const VERSION: &str = "version";
+/// Folders in a generation lie two deep; nothing deeper is ours to remove.
+const DEPTH: usize = 4;
+const CACHE_BYTES: u64 = 1 << 20;
+/// The fewest that `fjall` takes.
+const CACHED_FILES: usize = 10;
+
+/// The folder, and the stores that are open.
+#[derive(Debug)]
+pub struct Folder {
+    dir: PathBuf,
+    open: Option<(Generation, Store)>,
+    built: Option<(Generation, Store)>,
+}
+
+struct Store {
+    // Dropped in this order: the database waits for its threads and then lets the lock go.
+    kept: Keyspace,
+    database: Database,
+}
+
+impl std::fmt::Debug for Store {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Store")
+    }
+}
+
+impl Folder {
+    pub fn new(dir: PathBuf) -> Folder {
+        Folder { dir, open: None, built: None }
+    }
+
+    /// Carries an order out. Blocks for as long as the disk does.
+    ///
+    /// # Errors
+    ///
+    /// The step that failed. A store in which a write failed is closed for good, and so is one in
+    /// which `fjall` panicked.
+    pub fn carry_out(&mut self, order: Order) -> Result<Outcome, StoreError> {
+        let step = match order {
+            Order::List | Order::Read(_) => Step::Read,
+            Order::Build(..) => Step::Open,
+            Order::Seal(_) => Step::Seal,
+            Order::Write(..) => Step::Insert,
+            Order::Remove(_) => Step::Remove,
+        };
+        let spoils = matches!(order, Order::Write(..) | Order::Seal(_));
+        // What `fjall` holds to be impossible it panics on; here that is one more failed step.
+        let end = catch_unwind(AssertUnwindSafe(|| self.attempt(order)))
+            .unwrap_or_else(|_| Err(StoreError::new(step, "the store panicked")));
+        if end.is_err() {
+            self.built = None;
+            if spoils {
+                self.open = None;
+            }
+        }
+        end
+    }
+
+    fn attempt(&mut self, order: Order) -> Result<Outcome, StoreError> {
+        match order {
+            Order::List => self.list().map(Outcome::Listed),
+            Order::Read(generation) => Store::open(&self.path(generation))?.values().map(Outcome::Held),
+            Order::Build(generation, values) => self.build(generation, &values),
+            Order::Seal(generation) => self.seal(generation),
+            Order::Write(generation, items) => match &self.open {
+                Some((open, store)) if *open == generation => {
+                    store.write(items.iter().map(|(key, value)| (key.as_str(), &**value)))?;
+                    Ok(Outcome::Done)
+                }
+                _ => Err(StoreError::new(Step::Insert, "this generation is not open")),
+            },
+            Order::Remove(generation) => {
+                let path = self.path(generation);
+                remove(&path, DEPTH).map_err(StoreError::at(Step::Remove))?;
+                sync_folder(&self.dir).map_err(StoreError::at(Step::Remove))?;
+                Ok(Outcome::Done)
+            }
+        }
+    }
+
+    fn path(&self, generation: Generation) -> PathBuf {
+        self.dir.join(generation.0.to_string())
+    }
+
+    fn list(&self) -> Result<Vec<(Generation, bool)>, StoreError> {
+        let at = StoreError::at(Step::Open);
+        fs::create_dir_all(&self.dir).map_err(&at)?;
+        let mut generations = Vec::new();
+        for entry in fs::read_dir(&self.dir).map_err(&at)? {
+            let name = entry.map_err(&at)?.file_name();
+            // What bears no number is not ours.
+            let number: Option<u64> = name.to_str().and_then(|name| name.parse().ok());
+            if let Some(generation) = number.map(Generation) {
+                generations.push((generation, self.sealed(generation)?));
+            }
+        }
+        Ok(generations)
+    }
+
+    fn sealed(&self, generation: Generation) -> Result<bool, StoreError> {
+        match fs::read(self.path(generation).join(SEAL)) {
+            // A torn seal is none: nothing is reported as stored before it is synced.
+            Ok(bytes) => Ok(bytes == seal(generation)),
+            Err(error) if matches!(error.kind(), io::ErrorKind::NotFound | io::ErrorKind::NotADirectory) => {
+                Ok(false)
+            }
+            // To take a seal that cannot be read for none would lose what it seals.
+            Err(error) => Err(StoreError::new(Step::Read, error)),
+        }
+    }
+
+    fn build(&mut self, generation: Generation, values: &Values) -> Result<Outcome, StoreError> {
+        let path = self.path(generation);
+        self.built = None;
+        let store = Store::create(&path)?;
+        store.write(values.iter().map(|(key, value)| (key.as_str(), &**value)))?;
+        drop(store);
+        // Opening it anew shows that it opens, and cuts the room set aside from its journal.
+        let store = Store::open(&path)?;
+        let held = store.values()?;
+        self.built = Some((generation, store));
+        Ok(Outcome::Held(held))
+    }
+
+    fn seal(&mut self, generation: Generation) -> Result<Outcome, StoreError> {
+        let at = StoreError::at(Step::Seal);
+        let Some(built) = self.built.take().filter(|(built, _)| *built == generation) else {
+            return Err(StoreError::new(Step::Seal, "this generation was not built"));
+        };
+        let path = self.path(generation);
+        // The names first: once the seal is there, all that it speaks for must be.
+        sync_folder(&path).map_err(&at)?;
+        sync_folder(&self.dir).map_err(&at)?;
+        let mut file = File::create(path.join(SEAL)).map_err(&at)?;
+        file.write_all(&seal(generation)).map_err(&at)?;
+        file.sync_all().map_err(&at)?;
+        sync_folder(&path).map_err(&at)?;
+        self.open = Some(built);
+        Ok(Outcome::Done)
+    }
+}
+
+impl Store {
+    fn create(path: &Path) -> Result<Store, StoreError> {
+        let at = StoreError::at(Step::Open);
+        fs::create_dir_all(path).map_err(StoreError::at(Step::Open))?;
+        let database = Store::database(path)?;
+        let options = || KeyspaceCreateOptions::default().manual_journal_persist(true);
+        let kept = database.keyspace(KEYSPACE, options).map_err(&at)?;
+        Ok(Store { kept, database })
+    }
+
+    /// Opens a store that is there.
+    fn open(path: &Path) -> Result<Store, StoreError> {
+        let at = StoreError::at(Step::Open);
+        let io = StoreError::at(Step::Open);
+        if !path.join(VERSION).try_exists().map_err(&io)? {
+            return Err(StoreError::new(Step::Open, "the store is not whole"));
+        }
+        for entry in fs::read_dir(path).map_err(&io)? {
+            let file = entry.map_err(&io)?.path();
+            if file.extension().is_some_and(|extension| extension == "jnl") {
+                journal::mend(&file).map_err(&io)?;
+            }
+        }
+        let database = Store::database(path)?;
+        if !database.keyspace_exists(KEYSPACE) {
+            return Err(StoreError::new(Step::Open, "the store lacks its keyspace"));
+        }
+        let kept = database.keyspace(KEYSPACE, KeyspaceCreateOptions::default).map_err(&at)?;
+        Ok(Store { kept, database })
+    }
+
+    fn database(path: &Path) -> Result<Database, StoreError> {
+        // One thread, which has nothing to do: a generation ends before its values leave memory.
+        Database::builder(path)
+            .worker_threads(1)
+            .cache_size(CACHE_BYTES)
+            .max_cached_files(Some(CACHED_FILES))
+            .manual_journal_persist(true)
+            .open()
+            .map_err(StoreError::at(Step::Open))
+    }
+
+    fn values(&self) -> Result<Values, StoreError> {
+        let mut values = Values::new();
+        for guard in self.kept.iter() {
+            let (key, value) = guard.into_inner().map_err(StoreError::at(Step::Read))?;
+            let key = String::from_utf8(key.to_vec()).map_err(StoreError::at(Step::Read))?;
+            values.insert(key, value.to_vec().into());
+        }
+        Ok(values)
+    }
+
+    fn write<'a>(&self, items: impl Iterator<Item = (&'a str, &'a [u8])>) -> Result<(), StoreError> {
+        for (key, value) in items {
+            self.kept.insert(key, value).map_err(StoreError::at(Step::Insert))?;
+        }
+        self.database.persist(PersistMode::SyncAll).map_err(StoreError::at(Step::Sync))
+    }
+}
+
+fn seal(generation: Generation) -> Vec<u8> {
+    format!("fernknot cistern, generation {}\n", generation.0).into_bytes()
+}
+
+fn sync_folder(path: &Path) -> io::Result<()> {
+    File::open(path)?.sync_all()
+}
+
+/// Removes a folder, its seal first: what is left after a loss of power must not look whole.
+fn remove(path: &Path, depth: usize) -> io::Result<()> {
+    let gone = |end: io::Result<()>| match end {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(()),
+        end => end,
+    };
+    let entries = match fs::read_dir(path) {
+        Ok(entries) => entries,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(()),
+        Err(error) if error.kind() == io::ErrorKind::NotADirectory => return gone(fs::remove_file(path)),
+        Err(error) => return Err(error),
+    };
+    gone(fs::remove_file(path.join(SEAL)))?;
+    for entry in entries {
+        let entry = entry?;
+        match entry.file_type()?.is_dir() && depth > 0 {
+            true => remove(&entry.path(), depth - 1)?,
+            false => gone(fs::remove_file(entry.path()))?,
+        }
+    }
+    gone(fs::remove_dir(path))
+}
