--- a/crates/fernknot-cistern/src/folder.rs
+++ b/crates/fernknot-cistern/src/folder.rs
@@ -102,7 +102,13 @@
 
     fn list(&self) -> Result<Vec<(Generation, bool)>, StoreError> {
         let at = StoreError::at(Step::Open);
-        fs::create_dir_all(&self.dir).map_err(&at)?;
+        if !self.dir.try_exists().map_err(&at)? {
+            fs::create_dir_all(&self.dir).map_err(&at)?;
+            // A folder whose own name is lost takes all that was synced in it along.
+            if let Some(parent) = self.dir.parent() {
+                sync_folder(parent).map_err(&at)?;
+            }
+        }
         let mut generations = Vec::new();
         for entry in fs::read_dir(&self.dir).map_err(&at)? {
             let name = entry.map_err(&at)?.file_name();
--- a/crates/fernknot-cistern/src/keeper.rs
+++ b/crates/fernknot-cistern/src/keeper.rs
@@ -66,7 +66,7 @@
     pub fn of_disk(disk_bytes: u64) -> Measures {
         // A store sets 64 MB aside for its journal while it is being built, so what lies beside it
         // has half of a small disk: a journal at its bound, and as much again of values.
-        let journal_bytes = (disk_bytes / 16).clamp(MIB, LARGEST_JOURNAL / 2);
+        let journal_bytes = (disk_bytes / 16).clamp(4 * MIB, LARGEST_JOURNAL / 2);
         Measures {
             live_bytes: journal_bytes / 2,
             journal_bytes,
