Let use cases come and go, and count the ration of further hand-offs for each shard

The gateways decide through the module, whose routes, shards and nodes change while it runs. A use case has its own limit of hand-offs; use_case adds or replaces one and retire takes it away; what was measured stays where only times and worth changed. The shortest goal time follows the live ones, and never falls under one that is given at the start, for which the bins are made. The ration may count for each shard apart, and slack sets this router's free part of it. Turns, places and spending of shards that are gone are forgotten. The engine passes these on and tells by which hand-off a part was answered.

--- a/crates/fernknot-config/src/facts.rs
+++ b/crates/fernknot-config/src/facts.rs
@@ -215,6 +215,7 @@
             need: of(&family.class_need, index, 1.0),
             floor: of(&family.min_share, index, of(&family.class_need, index, 1.0)),
             second_step: of(&family.class_fetch, index, 0.0) > 0.0,
+            most_hand_offs: None,
         };
         // Guards against a router that takes all that is near for far: its zone must be one that is named.
         if let Some(zone) = facts.locality.filter(|zone| *zone as usize >= facts.zones.len().max(1)) {
@@ -227,12 +228,14 @@
                 free: free.unwrap_or(0.0),
                 share: share.unwrap_or(0.0),
                 window: millis(window),
+                each_shard: false,
             }),
             _ => return Err("rules.countedOver: missing beside freeResends or extraShare".to_string()),
         };
         Ok(SiteFacts {
             routers: facts.balancers,
             use_cases: facts.classes.iter().enumerate().map(use_case).collect(),
+            shortest_goal: None,
             customers: facts.accounts.iter().map(|account| account.quota_per_s).collect(),
             tick: millis(facts.tick),
             cold: ColdFacts {
--- a/crates/fernknot-engine/benches/multiget.rs
+++ b/crates/fernknot-engine/benches/multiget.rs
@@ -16,10 +16,12 @@
         need: 1.0,
         floor: 1.0,
         second_step: false,
+        most_hand_offs: None,
     };
     SiteFacts {
         routers: 1,
         use_cases: vec![case],
+        shortest_goal: None,
         customers: Vec::new(),
         tick: Nanos::from_millis(1.0),
         cold: ColdFacts::default(),
--- a/crates/fernknot-engine/src/engine.rs
+++ b/crates/fernknot-engine/src/engine.rs
@@ -1,7 +1,7 @@
 //! The pull loop, and the carrying out of the module's decisions as far as that needs no socket.
 
 use crate::counters::Counters;
-use crate::table::{AskerId, HandOffState, Held, PartOf, Table};
+use crate::table::{AskerId, HandOffState, Held, PartOf, PartState, Table};
 use fernknot::decide::Router;
 use fernknot::interface::*;
 use fernknot_config::PhaseFacts;
@@ -17,6 +17,8 @@
         whole: bool,
         /// The value of each part that is in.
         found: Vec<(ShardId, String)>,
+        /// The index of each part that is in, and the hand-off that answered it.
+        found_by: Vec<(usize, HandOffNo)>,
         /// What is said of each block of a query in two phases.
         blocks: Option<Vec<(ShardId, Said)>>,
     },
@@ -115,6 +117,21 @@
         self.module.list_lost(now);
     }
 
+    /// Adds a use case at the next free id, or replaces one; see [`Router::use_case`].
+    pub fn use_case(&mut self, now: Nanos, id: UseCaseId, facts: &UseCaseFacts) {
+        self.module.use_case(now, id, facts);
+    }
+
+    /// Takes a use case away; its id may be used again once nothing of it is open.
+    pub fn retire(&mut self, id: UseCaseId) {
+        self.module.retire(id);
+    }
+
+    /// This router's part of the further hand-offs that are free, from now on.
+    pub fn slack(&mut self, free: f64) {
+        self.module.slack(free);
+    }
+
     /// Among how many routers limits are shared from now on.
     pub fn shared_by(&mut self, now: Nanos, routers: usize) {
         self.module.shared_by(now, routers);
@@ -206,14 +223,14 @@
         self.table.over(multiget);
     }
 
-    /// A node answered a hand-off with a value.
+    /// A node answered a hand-off with a value; empty where the host keeps values itself.
     pub fn answered(&mut self, now: Nanos, part: PartId, no: HandOffNo, value: String, report: LoadReport) {
         let is_out = self.table.is_out(part, no);
         let Some(state) = self.table.part_mut(part).filter(|_| is_out) else { return };
         let outcome = match state.of {
             PartOf::Match => self.matched(now, part, &value),
             PartOf::Plain | PartOf::Fetch => {
-                state.value.get_or_insert(value);
+                state.answer(no, value);
                 Outcome::Answered
             }
         };
@@ -328,10 +345,12 @@
                 let held = self.table.get(multiget)?;
                 let found = held.parts.iter().filter_map(|part| Some((part.shard, part.value.clone()?)));
                 let found: Vec<(ShardId, String)> = found.collect();
+                let by = |(index, part): (usize, &PartState)| Some((index, part.answered_by?));
+                let found_by = held.parts.iter().enumerate().filter_map(by).collect();
                 let is_in = |shard| found.iter().any(|(found, _)| *found == shard);
                 let blocks =
                     held.is_phased().then(|| self.phases.account(multiget, is_in).unwrap_or_default());
-                self.end(now, multiget, Verdict::Settled { whole, found, blocks })
+                self.end(now, multiget, Verdict::Settled { whole, found, found_by, blocks })
             }
             Decision::Dismiss { multiget, wait } => {
                 self.end(now, multiget, Verdict::Dismissed { wait: Some(wait).filter(|wait| wait.0 > 0) })
--- a/crates/fernknot-engine/src/table.rs
+++ b/crates/fernknot-engine/src/table.rs
@@ -31,6 +31,8 @@
     pub id: String,
     /// The value of the first answer.
     pub value: Option<String>,
+    /// The hand-off that gave it.
+    pub answered_by: Option<HandOffNo>,
     pub hand_offs: Vec<HandOffState>,
 }
 
@@ -96,6 +98,13 @@
 }
 
 impl PartState {
+    /// Takes a value, if it is the first.
+    pub(crate) fn answer(&mut self, no: HandOffNo, value: String) {
+        if self.value.is_none() {
+            (self.value, self.answered_by) = (Some(value), Some(no));
+        }
+    }
+
     /// Guards against ids that collide: a client's id has no comma, so no plain part is ever called like
     /// one of a phase, and the letter tells the phases apart.
     fn new(id: &str, shard: ShardId, of: PartOf) -> PartState {
@@ -105,7 +114,7 @@
             PartOf::Fetch => ",f",
         };
         let id = format!("{id}{phase}.{}", shard.0);
-        PartState { shard, of, id, value: None, hand_offs: Vec::new() }
+        PartState { shard, of, id, value: None, answered_by: None, hand_offs: Vec::new() }
     }
 }
 
--- a/crates/fernknot-engine/tests/common/mod.rs
+++ b/crates/fernknot-engine/tests/common/mod.rs
@@ -28,14 +28,16 @@
         need: 1.0,
         floor: 0.5,
         second_step: false,
+        most_hand_offs: None,
     };
     SiteFacts {
         routers: 1,
         use_cases: vec![case(Effect::Replayable), case(Effect::SingleUse), case(Effect::Replayable)],
+        shortest_goal: None,
         customers: Vec::new(),
         tick: ms(1.0),
         cold: ColdFacts { from: 0.2, warm_after: ms(10_000.0), multiple: 2.0, window: ms(1000.0) },
-        budget: Some(BudgetFacts { free: 1000.0, share: 0.0, window: ms(10_000.0) }),
+        budget: Some(BudgetFacts { free: 1000.0, share: 0.0, window: ms(10_000.0), each_shard: false }),
         places: 4,
         width: 1,
         cancel: true,
--- a/crates/fernknot-engine/tests/orders.rs
+++ b/crates/fernknot-engine/tests/orders.rs
@@ -147,7 +147,7 @@
     }
     // Rule 5: whole only if every block is fetched or ruled out; a value for each that is said fetched.
     for given in &host.finals {
-        let Verdict::Settled { whole, found, blocks: Some(blocks) } = &given.verdict else { continue };
+        let Verdict::Settled { whole, found, blocks: Some(blocks), .. } = &given.verdict else { continue };
         let fetched: Vec<ShardId> =
             blocks.iter().filter(|(_, said)| *said == Said::Fetched).map(|(shard, _)| *shard).collect();
         let mut values: Vec<ShardId> = found.iter().map(|(shard, _)| *shard).collect();
--- a/crates/fernknot-engine/tests/two_phase.rs
+++ b/crates/fernknot-engine/tests/two_phase.rs
@@ -296,7 +296,7 @@
 
 #[test]
 fn copies_of_first_phases_leave_second_ones_their_share_of_the_budget() {
-    let budget = BudgetFacts { free: 4.0, share: 0.0, window: ms(60_000.0) };
+    let budget = BudgetFacts { free: 4.0, share: 0.0, window: ms(60_000.0), each_shard: false };
     let mut host = Host::new(SiteFacts { budget: Some(budget), ..site() }, phases(), 3);
     host.warm_up(80, &ALL, 10.0, 20.0);
     let asker = host.ask(REPLAYABLE, &ALL);
--- a/crates/fernknot-router/src/clients.rs
+++ b/crates/fernknot-router/src/clients.rs
@@ -435,7 +435,7 @@
             debug!(core.log, "a query in two phases is given up"; "in" => ?ended);
         }
         match verdict {
-            Verdict::Settled { whole, found, blocks } => {
+            Verdict::Settled { whole, found, blocks, .. } => {
                 let values = found.iter().map(|(shard, value)| (*shard, value.as_str()));
                 let body = multiget::settled(whole, values, blocks.as_deref());
                 // Guards clients that hold to the protocol's limit, and this router's memory.
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -27,7 +27,7 @@
         let (facts, opened, rest) = (multiget.second, multiget.opened, multiget.until - now);
         let parts = multiget.step().to_vec();
         self.use_cases[use_case.0].work.add(parts.iter().map(|part| part.size).sum(), SIZE_GAIN);
-        let mut planned = BTreeMap::new();
+        let mut planned = Loads::new();
         let mut offers = Vec::new();
         for part in &parts {
             let offer = self.choose(now, part, left, &planned);
--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -29,13 +29,7 @@
 
     /// The replica for a part: the highest share of answers within what is left of the goal time, cut by the
     /// delay that its work in hand adds to the usual; equals by delay, zone and turn.
-    pub(super) fn choose(
-        &self,
-        now: Nanos,
-        part: &Part,
-        left: Nanos,
-        planned: &BTreeMap<NodeId, f64>,
-    ) -> Option<Offer> {
+    pub(super) fn choose(&self, now: Nanos, part: &Part, left: Nanos, planned: &Loads) -> Option<Offer> {
         let holders = self.holders(part.shard);
         let first = part.hand_offs.is_empty();
         let turn = self.turns.get(&part.shard).filter(|_| first).copied().unwrap_or(0);
@@ -68,9 +62,13 @@
         now - sent.sent < self.shortest_goal.times(OVERDUE_GOAL)
     }
 
+    pub(super) fn places_of(&self, shard: ShardId) -> impl Iterator<Item = PlaceId> {
+        let places = u64::from(self.places);
+        (0..self.width).map(move |step| PlaceId(((u64::from(shard.0) + u64::from(step)) % places) as u32))
+    }
+
     /// Those that run. Guards them against taking the turns of one that drains or is gone.
     pub(super) fn holders(&self, shard: ShardId) -> Vec<NodeId> {
-        let places = (0..self.width).map(|step| PlaceId((shard.0 % self.places + step) % self.places));
-        self.by_place.all_in(places, |id| self.nodes[id].health == Health::Running)
+        self.by_place.all_in(self.places_of(shard), |id| self.nodes[id].health == Health::Running)
     }
 }
--- a/src/decide/copies.rs
+++ b/src/decide/copies.rs
@@ -90,9 +90,12 @@
         self.by_place.keep(|id| self.nodes.contains_key(id));
         let window = self.budget.as_ref().map_or(RECOMPUTE, |budget| budget.window);
         let longest = window.max(RECOMPUTE) + RECOMPUTE;
-        for count in [&mut self.first_sends, &mut self.further, &mut self.taken] {
-            count.forget(now, longest);
-        }
+        self.first_sends.forget(now, longest);
+        self.spent.forget(now, longest);
+        // Guards the memory of a router that runs for days against shards that came and went.
+        let mut turns = std::mem::take(&mut self.turns);
+        turns.retain(|shard, _| self.places_of(*shard).any(|place| self.by_place.has(place)));
+        self.turns = turns;
     }
 
     /// How busy a replica is: its own report or, failing that, what its latencies say.
--- a/src/decide/further.rs
+++ b/src/decide/further.rs
@@ -15,7 +15,7 @@
         for _ in 1..planned.copied().unwrap_or(1) {
             let multiget = &self.open[&id.of];
             let part = &multiget.parts[id.index];
-            let offer = self.choose(now, part, multiget.aim_end - now, &BTreeMap::new());
+            let offer = self.choose(now, part, multiget.aim_end - now, &Loads::new());
             let may = self.may_copy(now, COPY_SHARE) && self.may_send_further(now, part);
             let Some(offer) = offer.filter(|_| may && !self.is_shedding(now)) else { return };
             self.hand_off(now, id, &offer);
@@ -52,7 +52,7 @@
             }
             // Guards against failures and silence: another is tried if in time, beside the first if likelier.
             let missed: f64 = part.out().map(|sent| 1.0 - self.still(now, &part, sent, left)).product();
-            let offer = self.choose(now, &part, left, &BTreeMap::new()).filter(|offer| {
+            let offer = self.choose(now, &part, left, &Loads::new()).filter(|offer| {
                 let gains = missed * offer.phi >= LATE_GAIN && self.may_copy(now, LATE_SHARE);
                 now + offer.delay < until && (out == 0 || gains)
             });
@@ -129,7 +129,7 @@
             let chance = &mut self.chance;
             *self.turns.entry(part.shard).or_insert_with(|| chance.under(1 << 16) as usize) += 1;
         } else {
-            self.further.add(now, 1.0);
+            self.spent.send_further(now, part.shard);
         }
         part.hand_offs.push(HandOff {
             node: offer.node,
--- a/src/decide/learn.rs
+++ b/src/decide/learn.rs
@@ -20,13 +20,12 @@
             self.nodes.values_mut().for_each(|node| node.health = Health::Gone);
         }
         self.ask_wait = 0.0;
-        let bins = Histogram::new(self.shortest_goal.0 as f64 * FIRST_BIN, BIN_RATIO, BINS);
         for entry in entries {
             let chance = &mut self.chance;
             let mut fresh = || {
                 let started = entry.since.0 > 0;
                 let wait = if started { chance.share() } else { 0.0 };
-                Node { cold_room: (-wait, entry.since), ..Node::new(entry, &bins) }
+                Node { cold_room: (-wait, entry.since), ..Node::new(entry, &self.bins) }
             };
             let node = self.nodes.entry(entry.node).or_insert_with(&mut fresh);
             if node.since != entry.since {
@@ -46,6 +45,42 @@
         self.ask_at = self.must_ask.then_some(now + RECOMPUTE.times(self.ask_wait * spread));
     }
 
+    /// Adds a use case at the next free id, or replaces one, also for what is open. What was measured of it
+    /// stays if only its times, worth and limit of hand-offs changed and it has not been taken away.
+    pub fn use_case(&mut self, _now: Nanos, id: UseCaseId, facts: &UseCaseFacts) {
+        let mut case = UseCase::new(facts, &self.bins);
+        let work = |case: &UseCase| (case.live, case.effect, case.need, case.floor, case.second_step);
+        if let Some(old) = self.use_cases.get_mut(id.0) {
+            if work(old) == work(&case) {
+                (case.size, case.work) = (old.size, old.work);
+                case.latencies = std::mem::take(&mut old.latencies);
+            } else {
+                self.nodes.values_mut().for_each(|node| node.kinds.retain(|kind, _| kind.0 != id));
+            }
+            *old = case;
+        } else if id.0 == self.use_cases.len() {
+            self.use_cases.push(case);
+        }
+        self.set_shortest();
+    }
+
+    /// Takes a use case away, of which nothing new comes; its id may be used again once nothing is open.
+    pub fn retire(&mut self, id: UseCaseId) {
+        self.use_cases.get_mut(id.0).into_iter().for_each(|case| case.live = false);
+        self.nodes.values_mut().for_each(|node| node.kinds.retain(|kind, _| kind.0 != id));
+        self.set_shortest();
+    }
+
+    fn set_shortest(&mut self) {
+        let goals = self.use_cases.iter().filter(|case| case.live).map(|case| case.goal);
+        self.shortest_goal = goals.min().unwrap_or(self.shortest_goal).max(self.least_goal);
+    }
+
+    /// This router's part of the further hand-offs that are free, from now on.
+    pub fn slack(&mut self, free: f64) {
+        self.budget.iter_mut().for_each(|budget| budget.free = free);
+    }
+
     pub fn take(&mut self, now: Nanos, arrival: &Arrival) {
         let Some(case) = self.use_cases.get_mut(arrival.use_case.0) else { return };
         let stretch = arrival.effort.unwrap_or_default().times(case.stretch);
@@ -76,7 +111,7 @@
             ended: false,
         };
         self.open.insert(arrival.multiget, multiget);
-        self.taken.add(now, 1.0);
+        self.spent.all.taken.add(now, 1.0);
         self.touched.push_back(arrival.multiget);
         arrival.second.iter().for_each(|facts| self.expect(arrival.multiget, *facts));
     }
@@ -136,7 +171,7 @@
             answered: false,
             given_up: false,
         });
-        self.taken.add(now, 1.0);
+        self.spent.take(now, arrival.shard);
         if multiget.step().len() == 1 {
             self.touched.push_back(arrival.part.of);
         }
--- a/src/decide/limits.rs
+++ b/src/decide/limits.rs
@@ -16,7 +16,7 @@
     /// Whether one more copy keeps all further hand-offs under this share of the parts.
     pub(super) fn may_copy(&self, now: Nanos, share: f64) -> bool {
         let span = RECOMPUTE.times(2.0);
-        self.further.within(now, span) + 1.0 < share * self.first_sends.within(now, span)
+        self.spent.all.further.within(now, span) + 1.0 < share * self.first_sends.within(now, span)
     }
 
     /// Whether a part may be handed off again now: by its effect, its limit and the ration.
@@ -26,9 +26,10 @@
         // Guards second phases against copies made in first ones.
         let share = if out && multiget.second.is_some() { FIRST_RATION } else { 1.0 };
         let rationed = self.budget.as_ref().is_some_and(|budget| {
+            let spent = self.spent.of(part.shard);
             // Counted a little unkindly at both edges of the window.
-            let taken = self.taken.within(now, budget.window - self.tick);
-            let sent = self.further.within(now, budget.window + self.tick);
+            let taken = spent.map_or(0.0, |spent| spent.taken.within(now, budget.window - self.tick));
+            let sent = spent.map_or(0.0, |spent| spent.further.within(now, budget.window + self.tick));
             sent + 1.0 > share * (budget.free + budget.share * taken)
         });
         !rationed && (!out || self.second_copies) && self.may_yet(now, part)
@@ -42,7 +43,9 @@
             (Effect::Referenced(window), Some(first)) => now + self.tick < first + window,
             (Effect::SingleUse, Some(_)) => false,
         };
-        allowed && part.hand_offs.len() < self.most_hand_offs && !self.holders(part.shard).is_empty()
+        let most = self.use_cases[part.kind.0.0].most_hand_offs;
+        let most = most.map_or(self.most_hand_offs, |most| most as usize);
+        allowed && part.hand_offs.len() < most && !self.holders(part.shard).is_empty()
     }
 
     pub(super) fn is_cold(&self, now: Nanos, node: &Node) -> bool {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,7 +21,6 @@
 use crate::state::*;
 pub use copies::{cut_target, service_level};
 use limits::may_have_run;
-use std::collections::BTreeMap;
 
 /// Weight of one part in the running means of sizes.
 const SIZE_GAIN: f64 = 0.02;
@@ -37,6 +36,8 @@
 const FIRST_BIN: f64 = 1.0 / 48.0;
 const BIN_RATIO: f64 = 1.5;
 const BINS: usize = 14;
+/// So many more where use cases come and go, whose goal times may be far apart.
+const MORE_BINS: usize = 6;
 /// Replicas whose expected delays lie within this share of the goal time are equal.
 const DELAY_STEP: f64 = 1.0 / 24.0;
 /// A hand-off is overdue after so many times its expected delay, and this share of its goal time.
@@ -52,8 +53,11 @@
 impl Router {
     pub fn new(seed: u64, facts: SiteFacts, now: Nanos) -> Router {
         let goal = facts.use_cases.iter().map(|case| case.goal).min();
-        let shortest_goal = goal.unwrap_or(RECOMPUTE).max(facts.tick);
-        let bins = Histogram::new(shortest_goal.0 as f64 * FIRST_BIN, BIN_RATIO, BINS);
+        let least_goal = facts.shortest_goal.unwrap_or_default().max(facts.tick);
+        let shortest_goal = goal.or(facts.shortest_goal).unwrap_or(RECOMPUTE).max(least_goal);
+        let finest = facts.shortest_goal.map_or(shortest_goal, |_| least_goal).0 as f64 * FIRST_BIN;
+        let more = facts.shortest_goal.map_or(0, |_| MORE_BINS);
+        let bins = Histogram::new(finest, BIN_RATIO, BINS + more);
         let use_cases = facts.use_cases.iter().map(|case| UseCase::new(case, &bins));
         let own_share = |rate: &f64| {
             let rate = rate / facts.routers.max(1) as f64;
@@ -65,7 +69,9 @@
             shares: facts.customers.iter().map(own_share).collect(),
             tick: facts.tick,
             shortest_goal,
+            least_goal,
             cold: facts.cold,
+            spent: Spending::new(facts.budget.as_ref().is_some_and(|budget| budget.each_shard)),
             budget: facts.budget,
             places: facts.places.max(1),
             width: facts.width.max(1),
@@ -81,7 +87,8 @@
             unmarked: !facts.marks_repeats,
             chance: Mwc::new(seed),
             latencies: bins.clone(),
-            raw_latencies: bins,
+            raw_latencies: bins.clone(),
+            bins,
             replan_at: now + RECOMPUTE,
             mean_copies: 1.0,
             busy_all: 1.0,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -73,7 +73,7 @@
     SingleUse,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct UseCaseFacts {
     pub goal: Nanos,
     /// How long a client waits in all, over all its tries.
@@ -86,6 +86,8 @@
     pub need: f64,
     pub floor: f64,
     pub second_step: bool,
+    /// To how many nodes one of its parts may be handed in all; `None` for the site's number.
+    pub most_hand_offs: Option<u32>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -101,13 +103,17 @@
     pub free: f64,
     pub share: f64,
     pub window: Nanos,
+    /// The ration counts for each shard apart, against the parts that this shard is asked for.
+    pub each_shard: bool,
 }
 
 /// The settings as given when a router starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct SiteFacts {
     pub routers: usize,
     pub use_cases: Vec<UseCaseFacts>,
+    /// Where use cases come and go, the least goal time that latencies are told apart for.
+    pub shortest_goal: Option<Nanos>,
     /// For each customer, multigets a second inside its share, over all routers.
     pub customers: Vec<f64>,
     pub tick: Nanos,
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,6 +124,10 @@
         recent.map(|(_, amount)| amount).sum()
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
     pub fn forget(&mut self, now: Nanos, span: Nanos) {
         while self.held.front().is_some_and(|(at, _)| now - *at > span) {
             self.held.pop_front();
@@ -131,6 +135,56 @@
     }
 }
 
+/// Parts taken, and hand-offs past the first of each.
+#[derive(Clone, Debug, Default)]
+pub struct Spent {
+    pub taken: SlidingCount,
+    pub further: SlidingCount,
+}
+
+impl Spent {
+    fn forget(&mut self, now: Nanos, span: Nanos) -> bool {
+        self.taken.forget(now, span);
+        self.further.forget(now, span);
+        self.taken.is_empty() && self.further.is_empty()
+    }
+}
+
+/// What all shards spent together, multigets counted as taken too, and where wanted each shard alone.
+#[derive(Clone, Debug, Default)]
+pub struct Spending {
+    pub all: Spent,
+    each: Option<BTreeMap<ShardId, Spent>>,
+}
+
+impl Spending {
+    pub fn new(each_shard: bool) -> Spending {
+        Spending { all: Spent::default(), each: each_shard.then(BTreeMap::new) }
+    }
+
+    /// That of the shard or, where those are not kept apart, of all.
+    pub fn of(&self, shard: ShardId) -> Option<&Spent> {
+        self.each.as_ref().map_or(Some(&self.all), |each| each.get(&shard))
+    }
+
+    pub fn take(&mut self, now: Nanos, shard: ShardId) {
+        self.all.taken.add(now, 1.0);
+        let own = self.each.as_mut().map(|each| each.entry(shard).or_default());
+        own.into_iter().for_each(|own| own.taken.add(now, 1.0));
+    }
+
+    pub fn send_further(&mut self, now: Nanos, shard: ShardId) {
+        self.all.further.add(now, 1.0);
+        let own = self.each.as_mut().map(|each| each.entry(shard).or_default());
+        own.into_iter().for_each(|own| own.further.add(now, 1.0));
+    }
+
+    pub fn forget(&mut self, now: Nanos, span: Nanos) {
+        self.all.forget(now, span);
+        self.each.iter_mut().for_each(|each| each.retain(|_, own| !own.forget(now, span)));
+    }
+}
+
 /// A fill of so much a second, up to a limit, from which takings are drawn.
 #[derive(Clone, Debug)]
 pub struct Allowance {
@@ -217,8 +271,15 @@
         self.0.entry(to).or_default().insert(node);
     }
 
+    /// Forgets all other nodes, and places with none.
     pub fn keep(&mut self, keeps: impl Fn(&NodeId) -> bool) {
         self.0.values_mut().for_each(|nodes| nodes.retain(&keeps));
+        self.0.retain(|_, nodes| !nodes.is_empty());
+    }
+
+    /// Any node stands there.
+    pub fn has(&self, place: PlaceId) -> bool {
+        self.0.contains_key(&place)
     }
 
     /// The nodes at any of these places that are wanted, in order.
@@ -306,6 +367,9 @@
     pub missed: bool,
 }
 
+/// Sizes of work by node.
+pub type Loads = BTreeMap<NodeId, f64>;
+
 /// A use case, and whether it is the second of its two phases.
 pub type Kind = (UseCaseId, bool);
 
@@ -369,6 +433,8 @@
 /// What is known of a use case.
 #[derive(Clone, Debug, Default)]
 pub struct UseCase {
+    /// It has not been taken away.
+    pub live: bool,
     pub goal: Nanos,
     pub hard_limit: Nanos,
     /// The longest that a client has been seen to stay for one try.
@@ -380,6 +446,7 @@
     pub need: f64,
     pub floor: f64,
     pub second_step: bool,
+    pub most_hand_offs: Option<u32>,
     /// Latencies at all replicas, to tell how heavy its parts are beside others.
     pub latencies: Histogram,
     /// Mean size of a part, and of all parts of a multiget.
@@ -391,6 +458,7 @@
     /// As the settings have it, with nothing measured.
     pub fn new(facts: &UseCaseFacts, bins: &Histogram) -> UseCase {
         UseCase {
+            live: true,
             goal: facts.goal,
             hard_limit: facts.hard_limit,
             late_share: facts.late_share,
@@ -400,6 +468,7 @@
             need: facts.need,
             floor: facts.floor,
             second_step: facts.second_step,
+            most_hand_offs: facts.most_hand_offs,
             latencies: bins.clone(),
             ..UseCase::default()
         }
@@ -499,6 +568,9 @@
     pub(crate) shares: Vec<Allowance>,
     pub(crate) tick: Nanos,
     pub(crate) shortest_goal: Nanos,
+    /// What that never falls under, and the empty histogram that all are made from.
+    pub(crate) least_goal: Nanos,
+    pub(crate) bins: Histogram,
     pub(crate) cold: ColdFacts,
     /// What a warm replica could answer to this router, in sizes a nanosecond.
     pub(crate) bears: RunningMean,
@@ -536,10 +608,8 @@
     pub(crate) turns: BTreeMap<ShardId, usize>,
     pub(crate) replan_at: Nanos,
     pub(crate) mean_copies: f64,
-    /// Multigets and parts taken; hand-offs: first ones, and all past the first.
-    pub(crate) taken: SlidingCount,
     pub(crate) first_sends: SlidingCount,
-    pub(crate) further: SlidingCount,
+    pub(crate) spent: Spending,
     /// The share of the goal time that the expected delay of multigets fills.
     pub(crate) met: RunningMean,
     /// Sizes promised to second phases of multigets whose first one runs.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -29,6 +29,7 @@
         need: 1.0,
         floor,
         second_step,
+        most_hand_offs: None,
     };
     SiteFacts {
         routers: 2,
@@ -39,6 +40,7 @@
             case(Effect::Replayable, 0.6, 0.1, false),
             case(Effect::Replayable, 1.0, 0.1, true),
         ],
+        shortest_goal: None,
         customers: vec![1000.0],
         tick: ms(5.0),
         cold: ColdFacts { from: 0.2, warm_after: ms(10_000.0), multiple: 2.0, window: ms(1000.0) },
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -243,7 +243,7 @@
 #[test_case(1.0, 0.1, 5; "one, and a tenth of 20 multigets and 20 parts")]
 fn further_hand_offs_stay_within_the_ration(free: f64, share: f64, most: usize) {
     let mut given = facts();
-    given.budget = Some(BudgetFacts { free, share, window: ms(10_000.0) });
+    given.budget = Some(BudgetFacts { free, share, window: ms(10_000.0), each_shard: false });
     let mut host = Host::new(given, 3);
     let ids: Vec<MultigetId> = (0..20).map(|_| host.take(REPLAYABLE, &[1.0])).collect();
     for id in &ids {
