--- a/crates/fernknot-engine/tests/common/mod.rs
+++ b/crates/fernknot-engine/tests/common/mod.rs
@@ -144,6 +144,16 @@
         self.take(use_case, parts, (use_case != PLAIN).then_some(second), stays)
     }
 
+    /// Asks for these blocks in one phase.
+    pub fn ask_plain(&mut self, use_case: usize, shards: &[u32]) -> u64 {
+        let part = |shard: &u32| AskedPart {
+            shard: ShardId(*shard),
+            weight: 1.0 / shards.len() as f64,
+            effort: None,
+        };
+        self.take(use_case, shards.iter().map(part).collect(), None, HARD)
+    }
+
     /// Those who asked and have neither had an answer nor gone.
     pub fn waiting(&self) -> Vec<u64> {
         let waits = |asker: &u64| self.final_of(*asker).is_none() && !self.gone.contains(asker);
--- a/src/state.rs
+++ b/src/state.rs
@@ -621,3 +621,26 @@
     pub(crate) wake_at: Option<Nanos>,
     pub(crate) ready: VecDeque<Decision>,
 }
+
+/// How much a router holds, to be watched over days.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldCounts {
+    pub multigets: usize,
+    pub nodes: usize,
+    pub places: usize,
+    /// Shards with a turn, and those with spending of their own.
+    pub turns: usize,
+    pub spending: usize,
+}
+
+impl Router {
+    pub fn held(&self) -> HeldCounts {
+        HeldCounts {
+            multigets: self.open.len(),
+            nodes: self.nodes.len(),
+            places: self.by_place.0.len(),
+            turns: self.turns.len(),
+            spending: self.spent.each.as_ref().map_or(0, BTreeMap::len),
+        }
+    }
+}
