--- a/crates/fernknot-conduit/src/words.rs
+++ b/crates/fernknot-conduit/src/words.rs
@@ -40,7 +40,10 @@
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum PeerWord {
     /// Who speaks: the inner address at which it listens, and its zone.
-    Hello { addr: SocketAddrV4, zone: String },
+    Hello {
+        addr: SocketAddrV4,
+        zone: String,
+    },
     Views(fernknot_views::Word),
     /// Changes of nodes that were first told to the speaker.
     Nodes(Vec<NodeFact>),
@@ -51,13 +54,23 @@
     /// Gateways that are attached to the speaker.
     Gateways(Vec<Gateway>),
     /// One of them has stopped by order.
-    GatewayLeft { life: u64 },
+    GatewayLeft {
+        life: u64,
+    },
     /// The cut of duties that the sequencer made.
     Cut(Cut),
     /// An operator's call, handed to the sequencer: the configuration and the epoch on which it builds.
-    Replace { call: u64, base: u64, body: Vec<u8> },
+    Replace {
+        call: u64,
+        base: u64,
+        body: Vec<u8>,
+    },
     /// Its end: the status and words for the operator.
-    Replaced { call: u64, status: u16, why: String },
+    Replaced {
+        call: u64,
+        status: u16,
+        why: String,
+    },
     /// Other registrars that the speaker knows, at their inner addresses.
     Know(Vec<SocketAddrV4>),
 }
@@ -73,13 +86,23 @@
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Outward {
     /// A configuration that is in force, and its place in the one order.
-    Plan { order: u64, plan: Plan },
+    Plan {
+        order: u64,
+        plan: Plan,
+    },
     Nodes(Vec<NodeFact>),
     /// All that the teller holds has been told.
     Whole,
     /// Said every so often: who tells, how far it is, and whether it hears a majority of its view. `hops` counts
-    /// the gateways that passed it on; a registrar says 0.
-    Pulse { teller: u64, order: u64, lease: bool, hops: u8, registrars: Vec<Registrar>, gateways: u32 },
+    /// the gateways that passed it on; a registrar says 0. `fence` is that of the newest cut.
+    Pulse {
+        teller: u64,
+        order: u64,
+        lease: bool,
+        hops: u8,
+        fence: u64,
+        registrars: Vec<Registrar>,
+    },
     Cut(Cut),
     /// The answer to an operator's question, for a person to read.
     Answer(String),
--- a/crates/fernknot-headworks/src/registrar.rs
+++ b/crates/fernknot-headworks/src/registrar.rs
@@ -134,6 +134,8 @@
     /// None until the disk has been read.
     views: Option<Views>,
     views_due: Nanos,
+    /// When they last asked to be pulled without news.
+    views_wake: Nanos,
     in_force: InForce,
     changes: Changes,
     registry: Registry,
@@ -177,6 +179,7 @@
             now,
             views: None,
             views_due: now,
+            views_wake: now,
             in_force: InForce { order: 0, control: Control::default(), body: Arc::from([]), plan: None },
             changes: Changes::default(),
             registry: Registry::new(facts.beat, RegistryBounds::default()),
@@ -531,9 +534,12 @@
                     self.cut_look = true;
                 }
                 ViewOrder::Left => self.note(Level::Warn, part::VIEWS, "in no view any more".into()),
-                ViewOrder::Wake { after } => self.views_due = now + after,
+                ViewOrder::Wake { after } => self.views_wake = now + after,
             }
         }
+        // They say when to be pulled only if that differs from what they said before. Guards against a loop that
+        // is never idle, as after each of their words.
+        self.views_due = self.views_wake;
         let lease = self.holds_lease();
         if lease != self.lease {
             self.lease = lease;
@@ -833,15 +839,8 @@
             }
         }
         let lease = self.holds_lease() && !self.stopping;
-        let gateways = self.keeper.may_be_alive(self.now) as u32;
-        Outward::Pulse {
-            teller: self.facts.seed,
-            order: self.in_force.order,
-            lease,
-            registrars,
-            gateways,
-            hops: 0,
-        }
+        let (order, fence) = (self.in_force.order, self.cut.fence.0);
+        Outward::Pulse { teller: self.facts.seed, order, lease, hops: 0, fence, registrars }
     }
 
     fn pulse(&mut self) {
--- /dev/null
+++ b/crates/fernknot-sluice/src/asks.rs
@@ -0,0 +1,217 @@
+//! Requests of clients in hand: what goes to nodes for each, and the answer that is made of what comes back.
+
+use crate::routes::Pinned;
+use fernknot::interface::*;
+use fernknot_intake::Target;
+use fernknot_manifold::{Part, gather};
+use fernknot_penstock::{Berth, Buffer};
+use fernknot_protocol::http::{Request, Response};
+use std::io::Write;
+use std::rc::Rc;
+
+/// Wire names of this system's requests and answers.
+pub mod wire {
+    pub const ATTEMPT: &str = "Attempt-Id";
+    pub const DEADLINE: &str = "Deadline-Ms";
+    pub const TARGET: &str = "Target-Node";
+    pub const SEAL: &str = "Answer-Seal";
+    pub const NOT_RUN: &str = "Not-Executed";
+    pub const PARTS: &str = "Part-Seals";
+    pub const MISSING: &str = "Parts-Missing";
+}
+
+/// Lines of a head that concern one connection only, or that are written anew.
+const OWN: [&str; 12] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "deadline-ms",
+];
+
+fn passes(name: &str) -> bool {
+    !OWN.iter().any(|own| name.eq_ignore_ascii_case(own)) && !name.eq_ignore_ascii_case(wire::TARGET)
+}
+
+/// A request that is owed an answer.
+pub struct Ask {
+    pub client: Berth,
+    pub multiget: MultigetId,
+    pub pinned: Rc<Pinned>,
+    pub route: usize,
+    pub attempt: String,
+    pub client_end: Nanos,
+    /// The head as nodes get it, but for what differs from one to the other.
+    head: Vec<u8>,
+    body: Vec<u8>,
+    /// What is in of each part.
+    parts: Vec<Option<Response>>,
+    /// A node's whole answer that is a failure, kept for want of a better one.
+    failure: Option<Response>,
+}
+
+/// What a node's answer is worth.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Part,
+    /// The node did not run it; it is another one where `stranger` is true.
+    NotRun {
+        stranger: bool,
+    },
+    Failed,
+    /// It belongs to no request of this line.
+    Stray,
+}
+
+/// Judges an answer by its head. Guards against a late answer in another's place, an answer cut short, and
+/// a failure that bears a seal.
+pub fn judge(response: &Response, attempt: &str) -> Verdict {
+    if response.header(wire::ATTEMPT) != Some(attempt) {
+        return Verdict::Stray;
+    }
+    let sealed = response.header(wire::SEAL).is_some_and(|seal| !seal.is_empty());
+    let coded = response.header("content-encoding").is_some();
+    match response.status {
+        200..300 if sealed && response.framed && !coded => Verdict::Part,
+        421 => Verdict::NotRun { stranger: true },
+        _ if response.header(wire::NOT_RUN).is_some() => Verdict::NotRun { stranger: false },
+        _ => Verdict::Failed,
+    }
+}
+
+/// A final answer as it is written.
+pub struct Final<'a> {
+    pub status: u16,
+    pub headers: Vec<(&'a str, String)>,
+    pub body: &'a [u8],
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Answer",
+    }
+}
+
+impl Final<'_> {
+    pub fn write(&self, out: &mut Buffer, keep: bool, idle_s: u64) {
+        // Writing to a buffer does not fail.
+        let _ = write!(out, "HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
+        for (name, value) in &self.headers {
+            let _ = write!(out, "{name}: {value}\r\n");
+        }
+        let _ = match keep {
+            true if idle_s > 0 => write!(out, "Keep-Alive: timeout={idle_s}\r\n"),
+            true => Ok(()),
+            false => write!(out, "Connection: close\r\n"),
+        };
+        let _ = write!(out, "Content-Length: {}\r\n\r\n", self.body.len());
+        out.push(self.body);
+    }
+}
+
+impl Ask {
+    pub fn new(
+        client: Berth,
+        pinned: Rc<Pinned>,
+        route: usize,
+        attempt: String,
+        client_end: Nanos,
+        request: Request,
+        parts: usize,
+    ) -> Ask {
+        let mut head = Vec::with_capacity(256);
+        // Writing to a vector does not fail.
+        let _ = write!(head, "{} {} HTTP/1.1\r\n", request.method, request.target);
+        for (name, value) in request.headers().iter().filter(|(name, _)| passes(name)) {
+            let _ = write!(head, "{name}: {value}\r\n");
+        }
+        if !request.body.is_empty() || matches!(request.method.as_str(), "POST" | "PUT" | "PATCH") {
+            let _ = write!(head, "Content-Length: {}\r\n", request.body.len());
+        }
+        Ask {
+            client,
+            multiget: MultigetId(0),
+            pinned,
+            route,
+            attempt,
+            client_end,
+            head,
+            body: request.body,
+            parts: (0..parts).map(|_| None).collect(),
+            failure: None,
+        }
+    }
+
+    /// Writes the request for one node, which stops working on it when the time left is over.
+    pub fn send(&self, out: &mut Buffer, life: &str, left: Nanos) {
+        out.push(&self.head);
+        let left = (left.0 / 1_000_000).max(1);
+        let _ = write!(out, "{}: {left}\r\n{}: {life}\r\n\r\n", wire::DEADLINE, wire::TARGET);
+        out.push(&self.body);
+    }
+
+    /// Keeps the first answer to a part.
+    pub fn keep(&mut self, index: usize, response: Response) {
+        if let Some(part) = self.parts.get_mut(index) {
+            part.get_or_insert(response);
+        }
+    }
+
+    /// Keeps a failure for want of a better answer, where it makes no promise that may be untrue.
+    pub fn keep_failure(&mut self, response: Response) {
+        let promises = matches!(response.status, 408 | 421 | 429 | 503);
+        if self.parts.len() == 1 && response.framed && response.status >= 400 && !promises {
+            self.failure = Some(response);
+        }
+    }
+
+    fn pass(response: &Response) -> Final<'_> {
+        let kept = response.headers().iter().filter(|(name, _)| passes(name));
+        let headers = kept.map(|(name, value)| (name.as_str(), value.clone())).collect();
+        Final { status: response.status, headers, body: &response.body }
+    }
+
+    /// The answer of what is in; a gathered one is written into `merged`.
+    pub fn settled<'a>(&'a self, merged: &'a mut Vec<u8>) -> Option<Final<'a>> {
+        let Target::Fanout { top_k, quorum, .. } = &self.pinned.route(self.route).to else {
+            return self.parts.first()?.as_ref().map(Ask::pass);
+        };
+        let is_in = self.parts.iter().flatten();
+        let parts: Vec<Part> = is_in
+            .map(|part| Part { seal: part.header(wire::SEAL).unwrap_or_default(), body: &part.body })
+            .collect();
+        let got = gather(&parts, self.parts.len(), *top_k, *quorum)?;
+        *merged = got.body;
+        let mut headers = vec![(wire::ATTEMPT, self.attempt.clone()), (wire::PARTS, got.seals)];
+        if got.missing > 0 {
+            headers.push((wire::MISSING, got.missing.to_string()));
+        }
+        Some(Final { status: 200, headers, body: merged })
+    }
+
+    /// The answer where there is none: a node's own failure, or ours.
+    pub fn failed(&self, status: u16) -> Final<'_> {
+        match &self.failure {
+            Some(failure) => Ask::pass(failure),
+            None => Final { status, headers: vec![(wire::ATTEMPT, self.attempt.clone())], body: b"" },
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernknot-sluice/src/lines.rs
@@ -0,0 +1,202 @@
+//! Connections to nodes: one request at a time on each, kept while they are sound.
+
+use fernknot::interface::*;
+use fernknot_config::Limits;
+use fernknot_penstock::{Berth, Buffer};
+use fernknot_protocol::http::{Response, ResponseReader};
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+/// A connection to a node.
+pub struct Line {
+    pub node: NodeId,
+    /// The hand-off that it carries.
+    pub carries: Option<(PartId, HandOffNo)>,
+    reader: ResponseReader,
+    /// Not to be used again after what it carries.
+    pub spent: bool,
+    /// Not to be used any more from then on.
+    pub until: Nanos,
+    /// When the connection was begun.
+    pub since: Nanos,
+}
+
+/// A life of a node as hand-offs need it.
+pub struct Place {
+    pub life: String,
+    pub addr: SocketAddrV4,
+    idle: Vec<Berth>,
+    open: usize,
+}
+
+/// What came on a line.
+pub enum Heard {
+    /// Nothing whole yet.
+    Nothing,
+    Answer {
+        part: PartId,
+        no: HandOffNo,
+        node: NodeId,
+        response: Response,
+    },
+    /// What came is no answer, or belongs to none; the line has to be closed.
+    Spoilt,
+}
+
+/// All lines of a gateway.
+#[derive(Default)]
+pub struct Lines {
+    lines: HashMap<Berth, Line>,
+    places: HashMap<NodeId, Place>,
+    by_hand_off: HashMap<(PartId, HandOffNo), Berth>,
+}
+
+impl Lines {
+    /// A life of a node that may be handed something.
+    pub fn know(&mut self, node: NodeId, life: &str, addr: SocketAddrV4) {
+        let place = || Place { life: life.to_string(), addr, idle: Vec::new(), open: 0 };
+        self.places.entry(node).or_insert_with(place).addr = addr;
+    }
+
+    pub fn place(&self, node: NodeId) -> Option<&Place> {
+        self.places.get(&node)
+    }
+
+    /// A life that is gone: its idle lines come back, to be closed. What is under way goes on.
+    pub fn forget(&mut self, node: NodeId) -> Vec<Berth> {
+        let idle = self.places.remove(&node).map(|place| place.idle).unwrap_or_default();
+        idle.iter().for_each(|berth| _ = self.lines.remove(berth));
+        self.lines.values_mut().filter(|line| line.node == node).for_each(|line| line.spent = true);
+        idle
+    }
+
+    /// Idle lines of a node come back, to be closed; those in use are not used again.
+    pub fn renew(&mut self, node: NodeId) -> Vec<Berth> {
+        let Some(place) = self.places.get_mut(&node) else { return Vec::new() };
+        let idle = std::mem::take(&mut place.idle);
+        place.open -= idle.len().min(place.open);
+        idle.iter().for_each(|berth| _ = self.lines.remove(berth));
+        self.lines.values_mut().filter(|line| line.node == node).for_each(|line| line.spent = true);
+        idle
+    }
+
+    pub fn len(&self) -> usize {
+        self.lines.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty()
+    }
+
+    /// Connections to a node, idle ones among them.
+    pub fn open(&self, node: NodeId) -> usize {
+        self.places.get(&node).map_or(0, |place| place.open)
+    }
+
+    /// An idle line to a node, the one used last; those past their time come back too, to be closed.
+    pub fn idle(&mut self, now: Nanos, node: NodeId) -> (Option<Berth>, Vec<Berth>) {
+        let mut past = Vec::new();
+        let Some(place) = self.places.get_mut(&node) else { return (None, past) };
+        while let Some(berth) = place.idle.pop() {
+            match self.lines.get(&berth) {
+                Some(line) if line.until > now => return (Some(berth), past),
+                Some(_) => {
+                    self.lines.remove(&berth);
+                    place.open -= 1;
+                    past.push(berth);
+                }
+                None => {}
+            }
+        }
+        (None, past)
+    }
+
+    /// Lines that have been idle for too long, to be closed.
+    pub fn stale(&mut self, now: Nanos) -> Vec<Berth> {
+        let is_stale = |line: &Line| line.carries.is_none() && line.until <= now;
+        let stale: Vec<Berth> =
+            self.lines.iter().filter(|(_, line)| is_stale(line)).map(|(berth, _)| *berth).collect();
+        stale.iter().for_each(|berth| _ = self.lost(*berth));
+        stale
+    }
+
+    /// Lines that carry something to one node, or to any, and were begun so long ago.
+    pub fn carrying(&self, node: Option<NodeId>, before: Nanos) -> Vec<Berth> {
+        let meant = |line: &Line| node.is_none_or(|node| line.node == node) && line.since <= before;
+        let carrying = self.lines.iter().filter(|(_, line)| line.carries.is_some() && meant(line));
+        carrying.map(|(berth, _)| *berth).collect()
+    }
+
+    /// A new line, which carries a hand-off.
+    pub fn add(&mut self, now: Nanos, berth: Berth, node: NodeId, part: PartId, no: HandOffNo) {
+        let carries = Some((part, no));
+        let reader = ResponseReader::default();
+        self.lines
+            .insert(berth, Line { node, carries, reader, spent: false, until: Nanos(u64::MAX), since: now });
+        self.by_hand_off.insert((part, no), berth);
+        if let Some(place) = self.places.get_mut(&node) {
+            place.open += 1;
+        }
+    }
+
+    /// An idle line takes a hand-off.
+    pub fn carry(&mut self, berth: Berth, part: PartId, no: HandOffNo) {
+        if let Some(line) = self.lines.get_mut(&berth) {
+            line.carries = Some((part, no));
+            self.by_hand_off.insert((part, no), berth);
+        }
+    }
+
+    pub fn carrier(&self, part: PartId, no: HandOffNo) -> Option<Berth> {
+        self.by_hand_off.get(&(part, no)).copied()
+    }
+
+    pub fn is_line(&self, berth: Berth) -> bool {
+        self.lines.contains_key(&berth)
+    }
+
+    /// The line is gone or to be closed; what it carried comes back.
+    pub fn lost(&mut self, berth: Berth) -> Option<(PartId, HandOffNo)> {
+        let line = self.lines.remove(&berth)?;
+        if let Some(place) = self.places.get_mut(&line.node) {
+            place.idle.retain(|idle| *idle != berth);
+            place.open = place.open.saturating_sub(1);
+        }
+        line.carries.inspect(|carried| _ = self.by_hand_off.remove(carried))
+    }
+
+    /// Reads what came. Guards against bytes that belong to no request: a line that shows any is spoilt.
+    pub fn read(&mut self, berth: Berth, input: &mut Buffer, ended: bool, limits: &Limits) -> Heard {
+        let Some(line) = self.lines.get_mut(&berth) else { return Heard::Nothing };
+        let Some((part, no)) = line.carries else {
+            return if input.is_empty() && !ended { Heard::Nothing } else { Heard::Spoilt };
+        };
+        match line.reader.read(input, ended, limits) {
+            Ok(Some(response)) => {
+                line.spent |= !response.keep || !input.is_empty() || ended;
+                line.carries = None;
+                self.by_hand_off.remove(&(part, no));
+                Heard::Answer { part, no, node: line.node, response }
+            }
+            Ok(None) if !ended => Heard::Nothing,
+            _ => Heard::Spoilt,
+        }
+    }
+
+    /// After an answer: the line waits for the next hand-off until then, or is to be closed.
+    pub fn rest(&mut self, berth: Berth, until: Nanos) -> bool {
+        let Some(line) = self.lines.get_mut(&berth) else { return false };
+        let place = self.places.get_mut(&line.node).filter(|_| !line.spent);
+        match place {
+            Some(place) => {
+                line.until = until;
+                place.idle.push(berth);
+                true
+            }
+            None => {
+                self.lost(berth);
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernknot-sluice/src/news.rs
@@ -0,0 +1,400 @@
+//! Streams of news: from a registrar or the home in the zone, and on to those that subscribe here. Whom to
+//! listen to is what `fernknot-homes` says; here are the connections and the words.
+
+use fernknot::interface::Nanos;
+use fernknot_conduit::{Inward, Outward, Registrar as Told, Share, pull, push};
+use fernknot_duties::{Cut, Fence, Gateway, Holder, HolderBounds};
+use fernknot_homes::{Homes, HomesBounds, Order, Pulse, Registrar, Topic, What};
+use fernknot_intake::Plan;
+use fernknot_penstock::{Berth, Dock};
+use fernknot_registry::{NodeFact, Pool};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+/// Bytes that one word may have: a configuration of the largest size an operator may send.
+const MOST: usize = 16 << 20;
+/// Bytes that may wait for one that listens here; one that takes nothing is let go.
+const MOST_WAITING: usize = 32 << 20;
+/// Between two words that this gateway lives, in pulses.
+const ALIVE: f64 = 2.0;
+/// A gateway below that has not said so for this many times as long may be gone.
+const LATE: f64 = 3.0;
+
+/// What this gateway holds, for those that listen to it.
+pub struct Held<'a> {
+    pub pool: &'a Pool,
+    pub plan: Option<(u64, &'a Plan)>,
+    pub whole: bool,
+    pub ready: bool,
+}
+
+/// What the host is to take.
+pub enum News {
+    Plan {
+        order: u64,
+        plan: Plan,
+    },
+    Nodes(Vec<NodeFact>),
+    /// All of a share was told, from this mark of the list on.
+    Whole {
+        mark: u64,
+        share: Share,
+    },
+    /// A teller in touch with the rest spoke.
+    Well,
+}
+
+struct Stream {
+    what: What,
+    addr: SocketAddrV4,
+    share: Share,
+    /// Where the list of nodes stood when the whole was asked for.
+    mark: u64,
+}
+
+struct Below {
+    who: Gateway,
+    share: Share,
+    /// When it last said that it lives.
+    alive: Nanos,
+    /// Those that listen to it in turn, as it said lately.
+    further: Vec<Gateway>,
+}
+
+pub struct Mains {
+    me: Gateway,
+    homes: Homes,
+    alive_every: Nanos,
+    alive_at: Nanos,
+    known: BTreeMap<SocketAddrV4, String>,
+    streams: BTreeMap<Berth, Stream>,
+    by_addr: BTreeMap<(What, SocketAddrV4), Berth>,
+    below: BTreeMap<Berth, Below>,
+    /// Connections at the inner port that have not said who they are.
+    strangers: BTreeSet<Berth>,
+    services: BTreeSet<String>,
+    cut: Cut,
+    /// Whether this gateway may take a share of a budget, and among how many.
+    holder: Holder,
+    /// Who told the newest pulse.
+    teller: u64,
+}
+
+fn is_for(share: &Share, fact: &NodeFact, services: &BTreeSet<String>) -> bool {
+    match share {
+        Share::All => true,
+        // What no configuration names yet comes with any share, so that it is known when one does.
+        Share::Services(names) => names.contains(&fact.service) || !services.contains(&fact.service),
+    }
+}
+
+impl Mains {
+    pub fn new(me: Gateway, seeds: &[SocketAddrV4], apply: Nanos, contact: Nanos, seed: u64) -> Mains {
+        let bounds = HolderBounds { most_keys: 0, hand_over: apply, unconfirmed: contact };
+        let holder = Holder::new(me.life, Some(me.zone.clone()), bounds);
+        let mut homes = Homes::new(me.life, &me.zone, apply, HomesBounds::default(), seed);
+        let known: BTreeMap<SocketAddrV4, String> = seeds.iter().map(|addr| (*addr, String::new())).collect();
+        homes.registrars(&listed(&known));
+        Mains {
+            me,
+            homes,
+            alive_every: Homes::pulse_every(apply).times(ALIVE),
+            alive_at: Nanos(0),
+            known,
+            streams: BTreeMap::new(),
+            by_addr: BTreeMap::new(),
+            below: BTreeMap::new(),
+            strangers: BTreeSet::new(),
+            services: BTreeSet::new(),
+            cut: Cut::default(),
+            holder,
+            teller: 0,
+        }
+    }
+
+    /// Registrars that others told of.
+    pub fn know(&mut self, addrs: &[SocketAddrV4]) {
+        addrs.iter().for_each(|addr| _ = self.known.entry(*addr).or_default());
+        self.homes.registrars(&listed(&self.known));
+    }
+
+    /// The services that the configuration in force names.
+    pub fn services(&mut self, plan: &Plan) {
+        self.homes.services(plan.services.iter().map(|service| service.name.as_str()));
+        self.services = plan.services.iter().map(|service| service.name.clone()).collect();
+    }
+
+    pub fn is_mine(&self, berth: Berth) -> bool {
+        self.streams.contains_key(&berth)
+            || self.below.contains_key(&berth)
+            || self.strangers.contains(&berth)
+    }
+
+    /// How long ago a teller in touch with the rest spoke for the configuration.
+    pub fn fresh_ago(&self, now: Nanos) -> Option<Nanos> {
+        self.homes.fresh_ago(now, &Topic::Configuration)
+    }
+
+    /// The loop stood still for long: what did not come meanwhile says nothing.
+    pub fn was_away(&mut self, now: Nanos) {
+        self.homes.was_away(now);
+    }
+
+    pub fn accepted(&mut self, berth: Berth) {
+        self.strangers.insert(berth);
+    }
+
+    pub fn due(&self) -> Nanos {
+        self.homes.wakes_at().min(self.alive_at)
+    }
+
+    /// Opens, drops and serves streams as the homes' orders say.
+    pub fn tend(&mut self, now: Nanos, dock: &mut Dock, held: &Held) {
+        while let Some(order) = self.homes.next(now) {
+            match order {
+                Order::Attach { addr, what, topics } => self.attach(now, dock, held, (what, addr), &topics),
+                Order::Detach { addr, what } => {
+                    if let Some(berth) = self.by_addr.remove(&(what, addr)) {
+                        self.streams.remove(&berth);
+                        dock.close(berth);
+                    }
+                }
+                Order::Relay { to, pulse } => {
+                    let word = self.pulse_word(pulse);
+                    let listeners = self.below.iter().filter(|(_, below)| to.contains(&below.who.addr));
+                    let listeners: Vec<Berth> = listeners.map(|(berth, _)| *berth).collect();
+                    listeners.into_iter().for_each(|berth| self.tell(dock, berth, &word));
+                }
+            }
+        }
+        if now >= self.alive_at {
+            self.alive_at = now + self.alive_every;
+            // One that hangs keeps its connections: only what was said lately is passed on.
+            let late = self.alive_every.times(LATE);
+            let lately = |below: &&Below| now - below.alive <= late;
+            for (berth, stream) in &self.streams {
+                let Some(out) = dock.output(*berth) else { continue };
+                push(out, &Inward::Alive { ready: held.ready });
+                // Nothing that came from there goes back.
+                let below = self.below.values().filter(lately).filter(|below| below.who.addr != stream.addr);
+                let live: Vec<Gateway> =
+                    below.flat_map(|below| below.further.iter().chain([&below.who])).cloned().collect();
+                if !live.is_empty() {
+                    push(out, &Inward::Below(live));
+                }
+            }
+        }
+    }
+
+    fn attach(
+        &mut self,
+        now: Nanos,
+        dock: &mut Dock,
+        held: &Held,
+        key: (What, SocketAddrV4),
+        topics: &[Topic],
+    ) {
+        let names = topics.iter().filter_map(|topic| match topic {
+            Topic::Configuration => None,
+            Topic::Service(name) => Some(name.to_string()),
+        });
+        let names: Vec<String> = names.collect();
+        let share = if names.len() >= self.services.len() { Share::All } else { Share::Services(names) };
+        let berth = match self.by_addr.get(&key) {
+            Some(berth) if self.streams.get(berth).is_some_and(|stream| stream.share == share) => return,
+            Some(berth) => *berth,
+            None => match dock.connect(key.1) {
+                Ok(berth) => berth,
+                Err(why) => {
+                    log::warn!(target: "news", "{why}");
+                    return self.homes.lost(now, key.1, key.0);
+                }
+            },
+        };
+        let order = held.plan.map_or(0, |(order, _)| order);
+        let attach = Inward::Attach { who: self.me.clone(), ready: held.ready, share: share.clone(), order };
+        if let Some(out) = dock.output(berth) {
+            push(out, &attach);
+        }
+        self.by_addr.insert(key, berth);
+        self.streams.insert(berth, Stream { what: key.0, addr: key.1, share, mark: held.pool.mark() });
+    }
+
+    /// A connection went.
+    pub fn lost(&mut self, now: Nanos, berth: Berth) {
+        self.strangers.remove(&berth);
+        if let Some(below) = self.below.remove(&berth) {
+            self.homes.subscribed(below.who.addr, []);
+        }
+        if let Some(stream) = self.streams.remove(&berth) {
+            log::info!(target: "news", "The stream from {} is lost.", stream.addr);
+            self.by_addr.remove(&(stream.what, stream.addr));
+            self.homes.lost(now, stream.addr, stream.what);
+        }
+    }
+
+    /// Reads what came; what the host is to take is added to `news`.
+    pub fn came(&mut self, now: Nanos, berth: Berth, dock: &mut Dock, held: &Held, news: &mut Vec<News>) {
+        loop {
+            let Some(input) = dock.input(berth) else { return };
+            let taken = match self.streams.contains_key(&berth) {
+                true => pull::<Outward>(input, MOST)
+                    .map(|word| word.map(|word| self.heard(now, berth, word, news))),
+                false => pull::<Inward>(input, MOST)
+                    .map(|word| word.map(|word| self.asked(now, berth, word, dock, held))),
+            };
+            match taken {
+                Ok(Some(())) => {}
+                Ok(None) => return,
+                Err(why) => {
+                    log::warn!(target: "news", "What came is refused: {why}.");
+                    dock.close(berth);
+                    return self.lost(now, berth);
+                }
+            }
+        }
+    }
+
+    fn heard(&mut self, now: Nanos, berth: Berth, word: Outward, news: &mut Vec<News>) {
+        let Some(Stream { what, addr, share, mark }) = self.streams.get(&berth) else { return };
+        let (what, addr) = (*what, *addr);
+        self.homes.told(now, addr, what);
+        match word {
+            Outward::Pulse { teller, order, lease, hops, fence, registrars } => {
+                let pulse = Pulse { order, registry: 0, fence: Fence(fence), lease, hops };
+                self.homes.pulse(now, addr, what, pulse);
+                if lease {
+                    self.teller = teller;
+                    self.holder.confirm(now, Fence(fence));
+                    if !registrars.is_empty() {
+                        self.known = registrars.into_iter().map(|told| (told.addr, told.zone)).collect();
+                        self.homes.registrars(&listed(&self.known));
+                    }
+                    news.push(News::Well);
+                }
+            }
+            Outward::Plan { order, plan } => news.push(News::Plan { order, plan }),
+            Outward::Nodes(facts) => news.push(News::Nodes(facts)),
+            Outward::Whole => news.push(News::Whole { mark: *mark, share: share.clone() }),
+            Outward::Cut(cut) if cut.fence > self.cut.fence => {
+                log::info!(target: "news", "{} gateways live by the cut under {}.", cut.live.len(), cut.fence.0);
+                self.cut = cut.sorted();
+                self.homes.cut(now, &self.cut);
+                self.holder.take(now, self.cut.clone());
+            }
+            Outward::Cut(_) | Outward::Answer(_) => {}
+        }
+    }
+
+    fn asked(&mut self, now: Nanos, berth: Berth, word: Inward, dock: &mut Dock, held: &Held) {
+        match word {
+            Inward::Attach { who, share, order, .. } => {
+                let topics = match &share {
+                    Share::All => self.services.iter().map(|name| Topic::service(name)).collect(),
+                    Share::Services(names) => {
+                        names.iter().map(|name| Topic::service(name)).collect::<Vec<_>>()
+                    }
+                };
+                let topics = topics.into_iter().chain([Topic::Configuration]);
+                self.strangers.remove(&berth);
+                if !self.homes.subscribed(who.addr, topics) {
+                    dock.close(berth);
+                    return self.lost(now, berth);
+                }
+                let facts: Vec<NodeFact> =
+                    held.pool.facts().filter(|fact| is_for(&share, fact, &self.services)).cloned().collect();
+                self.below.insert(berth, Below { who, share, alive: now, further: Vec::new() });
+                if self.cut.fence.0 > 0 {
+                    self.tell(dock, berth, &Outward::Cut(self.cut.clone()));
+                }
+                if let Some((own, plan)) = held.plan.filter(|(own, _)| *own > order) {
+                    self.tell(dock, berth, &Outward::Plan { order: own, plan: plan.clone() });
+                }
+                self.tell(dock, berth, &Outward::Nodes(facts));
+                if held.whole {
+                    self.tell(dock, berth, &Outward::Whole);
+                }
+            }
+            Inward::Alive { .. } => {
+                if let Some(below) = self.below.get_mut(&berth) {
+                    below.alive = now;
+                }
+            }
+            Inward::Below(further) => {
+                if let Some(below) = self.below.get_mut(&berth) {
+                    below.further = further;
+                }
+            }
+            Inward::Leaving => {
+                if let Some(below) = self.below.remove(&berth) {
+                    self.homes.subscribed(below.who.addr, []);
+                }
+            }
+            Inward::Peer(_) | Inward::Ask(_) => {}
+        }
+    }
+
+    fn pulse_word(&self, pulse: Pulse) -> Outward {
+        let Pulse { order, lease, hops, fence, .. } = pulse;
+        let told = |(addr, zone): (&SocketAddrV4, &String)| Told { addr: *addr, zone: zone.clone() };
+        let registrars = self.known.iter().map(told).collect();
+        Outward::Pulse { teller: self.teller, order, lease, hops, fence: fence.0, registrars }
+    }
+
+    fn tell(&self, dock: &mut Dock, berth: Berth, word: &Outward) {
+        if dock.waiting(berth) > MOST_WAITING {
+            return dock.close(berth);
+        }
+        if let Some(out) = dock.output(berth) {
+            push(out, word);
+        }
+    }
+
+    /// Passes on to all that listen here what was news to this gateway.
+    pub fn pass_plan(&self, dock: &mut Dock, order: u64, plan: &Plan) {
+        if !self.below.is_empty() {
+            let word = Outward::Plan { order, plan: plan.clone() };
+            self.below.keys().for_each(|berth| self.tell(dock, *berth, &word));
+        }
+    }
+
+    pub fn pass_cut(&self, dock: &mut Dock) {
+        self.below.keys().for_each(|berth| self.tell(dock, *berth, &Outward::Cut(self.cut.clone())));
+    }
+
+    /// By how many gateways a budget is shared, or none while this one may take no share.
+    pub fn shared_by(&self, now: Nanos) -> Option<u32> {
+        self.holder.shared_by(now)
+    }
+
+    pub fn fence(&self) -> u64 {
+        self.cut.fence.0
+    }
+
+    pub fn pass_whole(&self, dock: &mut Dock) {
+        self.below.keys().for_each(|berth| self.tell(dock, *berth, &Outward::Whole));
+    }
+
+    pub fn pass_nodes(&self, dock: &mut Dock, facts: &[NodeFact]) {
+        for (berth, below) in &self.below {
+            let facts: Vec<NodeFact> =
+                facts.iter().filter(|fact| is_for(&below.share, fact, &self.services)).cloned().collect();
+            if !facts.is_empty() {
+                self.tell(dock, *berth, &Outward::Nodes(facts));
+            }
+        }
+    }
+
+    /// Says farewell, so that nobody waits for this gateway.
+    pub fn leave(&mut self, dock: &mut Dock) {
+        for berth in self.streams.keys() {
+            if let Some(out) = dock.output(*berth) {
+                push(out, &Inward::Leaving);
+            }
+        }
+    }
+}
+
+fn listed(known: &BTreeMap<SocketAddrV4, String>) -> Vec<Registrar> {
+    known.iter().map(|(addr, zone)| Registrar { addr: *addr, zone: zone.clone() }).collect()
+}
--- /dev/null
+++ b/crates/fernknot-sluice/src/routes.rs
@@ -0,0 +1,114 @@
+//! The configuration as one gateway holds it: pinned by each request when its head is read.
+
+use fernknot::interface::*;
+use fernknot_intake::{Class, Plan, Route, RouteTable, Target};
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// One version, with the module's names for what it names.
+pub struct Pinned {
+    pub order: u64,
+    pub plan: Plan,
+    table: RouteTable,
+    use_cases: Vec<UseCaseId>,
+}
+
+impl Pinned {
+    /// The route of a request, by its place in the plan.
+    pub fn find(&self, host: &str, path: &str) -> Option<usize> {
+        self.table.find(host, path)
+    }
+
+    pub fn route(&self, index: usize) -> &Route {
+        &self.plan.routes[index]
+    }
+
+    pub fn use_case(&self, index: usize) -> UseCaseId {
+        self.use_cases[index]
+    }
+}
+
+/// The module's numbers for services and routes, over all versions of the configuration.
+#[derive(Default)]
+pub struct Names {
+    shards: HashMap<String, ShardId>,
+    next_shard: u32,
+    /// By host, prefix and what answers: what was measured of a route holds while these do.
+    cases: HashMap<(String, String), UseCaseId>,
+    free: Vec<UseCaseId>,
+    /// Those of routes that are gone, until nothing of them can be in hand any more.
+    leaving: BTreeMap<(Nanos, UseCaseId), ()>,
+    next_case: usize,
+}
+
+/// What a route asks of the module.
+pub fn facts_of(route: &Route) -> UseCaseFacts {
+    let floor = match &route.to {
+        Target::Fanout { quorum, .. } => *quorum,
+        _ => 1.0,
+    };
+    let effect = if route.traffic_class == Class::Mutating { Effect::SingleUse } else { Effect::Replayable };
+    UseCaseFacts {
+        goal: Nanos::from_millis(route.target_ms as f64),
+        hard_limit: Nanos::from_millis(route.deadline_ms as f64),
+        // A lower rank goes before a higher one, each half as much as the one before.
+        earnings: 0.5f64.powi(route.rank.min(30) as i32),
+        late_share: 1.0,
+        effect,
+        stretch: 0.0,
+        need: 1.0,
+        floor,
+        second_step: false,
+        most_hand_offs: Some(route.tries.max(1)),
+    }
+}
+
+impl Names {
+    pub fn shard(&mut self, service: &str) -> ShardId {
+        if let Some(shard) = self.shards.get(service) {
+            return *shard;
+        }
+        let shard = ShardId(self.next_shard);
+        self.next_shard += 1;
+        self.shards.insert(service.to_string(), shard);
+        shard
+    }
+
+    /// Takes a version; the use cases that are new or differ come back, in the order of their numbers.
+    pub fn pin(
+        &mut self,
+        now: Nanos,
+        order: u64,
+        plan: Plan,
+        keep: Nanos,
+    ) -> (Pinned, Vec<(UseCaseId, UseCaseFacts)>) {
+        while let Some(((at, case), ())) = self.leaving.first_key_value() {
+            if *at > now {
+                break;
+            }
+            self.free.push(*case);
+            self.leaving.pop_first();
+        }
+        let mut cases = HashMap::new();
+        let mut facts = Vec::new();
+        let mut use_cases = Vec::with_capacity(plan.routes.len());
+        for route in &plan.routes {
+            let key = (route.authority.clone(), route.path_prefix.clone());
+            let case = self.cases.get(&key).copied().or_else(|| self.free.pop()).unwrap_or_else(|| {
+                self.next_case += 1;
+                UseCaseId(self.next_case - 1)
+            });
+            cases.insert(key, case);
+            facts.push((case, facts_of(route)));
+            use_cases.push(case);
+        }
+        let live: HashSet<UseCaseId> = cases.values().copied().collect();
+        for case in std::mem::replace(&mut self.cases, cases).into_values() {
+            if !live.contains(&case) {
+                self.leaving.insert((now + keep, case), ());
+            }
+        }
+        facts.sort_by_key(|(case, _)| *case);
+        let table = RouteTable::new(&plan);
+        (Pinned { order, plan, table, use_cases }, facts)
+    }
+}
