--- a/crates/fernknot-basin/src/checker.rs
+++ b/crates/fernknot-basin/src/checker.rs
@@ -157,7 +157,8 @@
         return None;
     }
     let fits = |set: &&Vec<String>| {
-        set.len() == services.len() + missing && services.iter().all(|service| set.iter().any(|name| name == service))
+        set.len() == services.len() + missing
+            && services.iter().all(|service| set.iter().any(|name| name == service))
     };
     let Some(set) = allowed.sets.iter().find(fits) else {
         return Some(("MIXED", format!("{services:?} and {missing} missing are no set of one version")));
@@ -166,6 +167,7 @@
         return Some(("MIXED", format!("{} of {} parts are under the quorum", services.len(), set.len())));
     }
     records.sort();
-    let greatest: Vec<u8> = records.iter().rev().take(allowed.top_k).flat_map(|record| record.to_vec()).collect();
+    let greatest: Vec<u8> =
+        records.iter().rev().take(allowed.top_k).flat_map(|record| record.to_vec()).collect();
     (greatest != *body).then(|| ("MIXED", "the records are not the greatest of its parts".into()))
 }
--- a/crates/fernknot-basin/src/inner.rs
+++ b/crates/fernknot-basin/src/inner.rs
@@ -77,7 +77,8 @@
 pub fn listen(peer: SocketAddrV4, zone: &str, life: u64, span: Duration) -> Result<Told, WireError> {
     let mut stream = open(peer, span)?;
     let fail = |step| move |why| WireError { step, peer, why };
-    let who = Gateway { life: LifeId(life), addr: SocketAddrV4::new([127, 0, 0, 1].into(), 9), zone: zone.into() };
+    let who =
+        Gateway { life: LifeId(life), addr: SocketAddrV4::new([127, 0, 0, 1].into(), 9), zone: zone.into() };
     let mut out = Buffer::default();
     push(&mut out, &Inward::Attach { who, ready: false, share: Share::All, order: 0 });
     stream.write_all(out.data()).map_err(fail("write to"))?;
@@ -113,7 +114,8 @@
         }
         loop {
             let before = input.len();
-            let bad = |why| WireError { step: "listen to", peer, why: Error::new(ErrorKind::InvalidData, why) };
+            let bad =
+                |why| WireError { step: "listen to", peer, why: Error::new(ErrorKind::InvalidData, why) };
             let Some(word) = pull::<Outward>(&mut input, MOST).map_err(bad)? else { break };
             let size = before - input.len();
             if whole_at.is_some() {
--- a/crates/fernknot-basin/src/load.rs
+++ b/crates/fernknot-basin/src/load.rs
@@ -37,7 +37,11 @@
 impl Platform {
     /// `doors`: where clients connect and where readiness is asked, for each gateway.
     pub fn new(doors: &[(SocketAddrV4, SocketAddrV4)], every: Duration, seed: u64) -> Platform {
-        let door = |(front, ready): &(SocketAddrV4, SocketAddrV4)| Door { front: *front, ready: *ready, missed: MISSES };
+        let door = |(front, ready): &(SocketAddrV4, SocketAddrV4)| Door {
+            front: *front,
+            ready: *ready,
+            missed: MISSES,
+        };
         let list = Mutex::new(doors.iter().map(door).collect());
         let doors = Arc::new(Doors { list, chance: Chance::new(seed) });
         let over = Arc::new(AtomicBool::new(false));
@@ -74,7 +78,8 @@
 
 /// Whether a process says that it is ready.
 pub fn is_ready(addr: SocketAddrV4) -> bool {
-    let ask = wire::request("GET", "/-/readiness", &[format!("Host: {addr}"), "Connection: close".into()], b"");
+    let ask =
+        wire::request("GET", "/-/readiness", &[format!("Host: {addr}"), "Connection: close".into()], b"");
     wire::once(addr, &ask, Duration::from_millis(500)).is_ok_and(|answer| answer.status() == 200)
 }
 
--- a/crates/fernknot-basin/src/measure.rs
+++ b/crates/fernknot-basin/src/measure.rs
@@ -42,7 +42,8 @@
 impl Size {
     /// What stays as it is while one figure is varied.
     pub fn of(what: What, count: usize) -> Size {
-        let mut size = Size { gateways: 4, nodes: 50, routes: 12, changes_per_min: 0, queries_per_s: 0, shards: 4 };
+        let mut size =
+            Size { gateways: 4, nodes: 50, routes: 12, changes_per_min: 0, queries_per_s: 0, shards: 4 };
         match what {
             What::Gateways => size.gateways = count,
             What::Nodes => size.nodes = count,
@@ -205,6 +206,8 @@
 fn replace(operator: &Operator, draft: &Draft, base: u64) -> Result<(), RigError> {
     match operator.replace(&draft.bytes(), base) {
         End::Answered { status: 200, .. } => Ok(()),
-        end => Err(RigError::Waited { what: format!("version {} taken: {end:?}", draft.epoch), seconds: 0.0 }),
+        end => {
+            Err(RigError::Waited { what: format!("version {} taken: {end:?}", draft.epoch), seconds: 0.0 })
+        }
     }
 }
--- a/crates/fernknot-basin/src/nodes.rs
+++ b/crates/fernknot-basin/src/nodes.rs
@@ -96,9 +96,10 @@
 
 /// The records of a part: the same at every node of a service.
 pub fn records(service: &str, target: &str, count: usize) -> Vec<u8> {
-    let mut state = [service, "\n", target].iter().flat_map(|text| text.bytes()).fold(7u64, |state, byte| {
-        (state ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3).rotate_left(23)
-    });
+    let mut state = [service, "\n", target]
+        .iter()
+        .flat_map(|text| text.bytes())
+        .fold(7u64, |state, byte| (state ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3).rotate_left(23));
     let mut next = || {
         state = state.wrapping_add(STEP);
         mixed(state)
--- a/crates/fernknot-basin/src/rig.rs
+++ b/crates/fernknot-basin/src/rig.rs
@@ -239,12 +239,12 @@
             (0..self.layout.zones.max(1)).map(|zone| (self.zone(zone), json!("basin"))).collect();
         let address = |port: u16| SocketAddrV4::new(process.ip, port).to_string();
         let (class, serves, bind) = match process.role {
-            Role::Registrar => {
-                ("core", "control_plane", json!({"control_addr": address(CONTROL_PORT)}))
-            }
-            Role::Gateway => {
-                ("edge", "edge", json!({"front_addr": address(FRONT_PORT), "ready_addr": address(READY_PORT)}))
-            }
+            Role::Registrar => ("core", "control_plane", json!({"control_addr": address(CONTROL_PORT)})),
+            Role::Gateway => (
+                "edge",
+                "edge",
+                json!({"front_addr": address(FRONT_PORT), "ready_addr": address(READY_PORT)}),
+            ),
         };
         let seeds: Vec<String> = self.control().iter().take(3).map(SocketAddrV4::to_string).collect();
         let settings = json!({
--- /dev/null
+++ b/crates/fernknot-basin/tests/common/mod.rs
@@ -0,0 +1,88 @@
+//! What the tests of this package share: the programs, and a system that serves.
+
+use fernknot_basin::checker::{Allowed, Kind};
+use fernknot_basin::load::{Load, LoadFacts, Platform};
+use fernknot_basin::nodes::{Facts, Nodes};
+use fernknot_basin::operator::{End, Operator};
+use fernknot_basin::paper::Draft;
+use fernknot_basin::rig::{Layout, Rig, Role, program, until};
+use std::process::Command;
+use std::sync::Once;
+use std::time::Duration;
+
+/// Nothing that is awaited takes longer, on a machine however busy.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+
+/// Builds the programs where they are missing beside this test.
+pub fn programs() {
+    static BUILT: Once = Once::new();
+    BUILT.call_once(|| {
+        let roles = [Role::Registrar, Role::Gateway];
+        if roles.iter().all(|role| program(role.program()).is_ok()) {
+            return;
+        }
+        let own = std::env::current_exe().unwrap();
+        let profile = own.ancestors().nth(2).unwrap();
+        let name = profile.file_name().unwrap().to_str().unwrap();
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--profile", if name == "debug" { "dev" } else { name }]);
+        roles.iter().for_each(|role| _ = build.args(["-p", role.program()]));
+        build.env("CARGO_TARGET_DIR", profile.parent().unwrap());
+        assert!(build.status().unwrap().success(), "the programs do not build");
+    });
+}
+
+/// Three registrars, gateways, nodes and one configuration that is in force at all gateways.
+pub struct System {
+    pub rig: Rig,
+    pub nodes: Nodes,
+    pub operator: Operator,
+    pub platform: Platform,
+    pub draft: Draft,
+}
+
+impl System {
+    pub fn start(seed: u64) -> System {
+        programs();
+        let rig = Rig::start(Layout { seed, ..Layout::default() }).unwrap();
+        rig.await_registrars(PATIENCE).unwrap();
+        let nodes = Nodes::new(rig.nodes_ip(), rig.control(), rig.layout().beat, seed);
+        let draft = Draft::default();
+        let services: Vec<String> = draft.fanout().into_iter().chain(["single".into()]).collect();
+        for (number, service) in services.iter().flat_map(|service| [service; 2]).enumerate() {
+            let facts = Facts {
+                service: service.clone(),
+                zone: rig.zone(number),
+                capacity: 4,
+                queue: 4,
+                work: Duration::from_millis(5),
+                records: 30,
+                serves: true,
+            };
+            nodes.start(facts).unwrap();
+        }
+        until("all nodes heard", PATIENCE, || nodes.beats().0 >= 2 * services.len()).unwrap();
+        let operator = Operator { addrs: rig.control(), within: PATIENCE };
+        let end = operator.replace(&draft.bytes(), 0);
+        assert!(matches!(end, End::Answered { status: 200, .. }), "{end:?}");
+        rig.await_gateways(PATIENCE).unwrap();
+        let platform = Platform::new(&rig.doors(), Duration::from_millis(400), seed);
+        System { rig, nodes, operator, platform, draft }
+    }
+
+    pub fn load(&self, per_s: f64) -> Load {
+        let mix = vec![Kind::Gather, Kind::One, Kind::Gather, Kind::Order];
+        let deadline = Duration::from_secs(4);
+        Load::start(&self.platform, &LoadFacts { clients: 6, per_s, mix, deadline, judged: true })
+    }
+
+    pub fn allowed(&self) -> Allowed {
+        let Draft { top_k, quorum, .. } = self.draft;
+        Allowed { sets: vec![self.draft.fanout()], top_k, quorum, single: "single".into() }
+    }
+}
+
+/// The version that a body tells.
+pub fn epoch(body: &[u8]) -> Option<u64> {
+    serde_json::from_slice::<serde_json::Value>(body).ok()?["epoch"].as_u64()
+}
--- a/crates/fernknot-cli/src/demo.rs
+++ b/crates/fernknot-cli/src/demo.rs
@@ -68,7 +68,11 @@
         end => return Err(failed(format!("the configuration was not taken: {end:?}"))),
     }
     let took = rig.await_gateways(PATIENCE).map_err(failed)?;
-    say(format!("all gateways were ready {:.2} s later, {:.2} s after the start", took.as_secs_f64(), begun.elapsed().as_secs_f64()));
+    say(format!(
+        "all gateways were ready {:.2} s later, {:.2} s after the start",
+        took.as_secs_f64(),
+        begun.elapsed().as_secs_f64()
+    ));
 
     let platform = Platform::new(&doors, Duration::from_millis(500), seed);
     let load = Load::start(
@@ -81,7 +85,8 @@
             judged: true,
         },
     );
-    until("the first queries", PATIENCE, || load.count() >= 4 || over.load(Ordering::Relaxed)).map_err(failed)?;
+    until("the first queries", PATIENCE, || load.count() >= 4 || over.load(Ordering::Relaxed))
+        .map_err(failed)?;
     say("\ntry, in another terminal:");
     say(format!(
         "  curl -i http://{}/gather/hello -H 'Host: {HOST}' -H 'Attempt-Id: by-hand-1' -H 'Deadline-Ms: 2000'",
@@ -96,7 +101,9 @@
     });
     let from = Instant::now();
     let mut told = Instant::now();
-    while !over.load(Ordering::Relaxed) && seconds.is_none_or(|seconds| from.elapsed().as_secs_f64() < seconds) {
+    while !over.load(Ordering::Relaxed)
+        && seconds.is_none_or(|seconds| from.elapsed().as_secs_f64() < seconds)
+    {
         thread::sleep(Duration::from_millis(20));
         if told.elapsed() >= Duration::from_secs(5) {
             told = Instant::now();
@@ -106,8 +113,11 @@
     let requests = load.finish();
     let served = requests.iter().filter(|request| request.served()).count();
     for kind in [Kind::Gather, Kind::One, Kind::Order] {
-        let mut times: Vec<f64> =
-            requests.iter().filter(|request| request.kind == kind && request.served()).map(|request| request.took_ms).collect();
+        let mut times: Vec<f64> = requests
+            .iter()
+            .filter(|request| request.kind == kind && request.served())
+            .map(|request| request.took_ms)
+            .collect();
         times.sort_by(f64::total_cmp);
         let at = |share: f64| times.get((times.len() as f64 * share) as usize).copied().unwrap_or(f64::NAN);
         say(format!(
@@ -119,15 +129,21 @@
         ));
     }
     let last = requests.iter().rev().find(|request| request.kind == Kind::Gather && request.served());
-    if let Some(Seen::Answer { seals, missing, body, .. }) = last.map(|request| &request.tries[request.tries.len() - 1].seen) {
+    if let Some(Seen::Answer { seals, missing, body, .. }) =
+        last.map(|request| &request.tries[request.tries.len() - 1].seen)
+    {
         say(format!(
             "the last gathered answer: {} parts, {missing} missing, the greatest {} records",
             seals.len(),
             body.len() / 16
         ));
     }
-    let allowed =
-        Allowed { sets: vec![draft.fanout()], top_k: draft.top_k, quorum: draft.quorum, single: "single".into() };
+    let allowed = Allowed {
+        sets: vec![draft.fanout()],
+        top_k: draft.top_k,
+        quorum: draft.quorum,
+        single: "single".into(),
+    };
     // What was sent by hand is known to nodes alone.
     let breaks: Vec<_> = check(&requests, &nodes.ledger(), &allowed)
         .into_iter()
--- a/crates/fernknot-cli/src/measure.rs
+++ b/crates/fernknot-cli/src/measure.rs
@@ -21,7 +21,8 @@
             )));
         }
     };
-    let given = words.options.iter().rev().find(|(key, _)| key == "sizes").and_then(|(_, value)| value.clone());
+    let given =
+        words.options.iter().rev().find(|(key, _)| key == "sizes").and_then(|(_, value)| value.clone());
     let sizes = match given {
         None => sizes,
         Some(text) => text
--- a/crates/fernknot-cli/src/talk.rs
+++ b/crates/fernknot-cli/src/talk.rs
@@ -86,7 +86,9 @@
         "homes" => Question::Homes,
         "duties" => Question::Duties,
         "counters" => Question::Counters,
-        other => return Err(Fail::Usage(format!("{other}: is none of nodes, views, homes, duties, counters"))),
+        other => {
+            return Err(Fail::Usage(format!("{other}: is none of nodes, views, homes, duties, counters")));
+        }
     };
     for addr in addrs(at)? {
         let text = inner::ask(addr, question, ANSWER).map_err(failed)?;
