Decide by its worth whether a late but fuller answer is waited for

An answer of a gathered route earns the square of the share that is in, and a late one about a third. The module gave what it had at the aim's end, and after it as soon as the quorum was met, where the late worth no longer falls. Where a route is told to be worth so (squared), it now waits while what is likely still to come is expected to earn more. The gateway tells it of its gathered routes.

--- a/crates/fernknot-config/src/facts.rs
+++ b/crates/fernknot-config/src/facts.rs
@@ -206,6 +206,7 @@
             hard_limit: millis(class.deadline),
             earnings: class.worth,
             late_share: class.late_share,
+            squared: false,
             effect: match class.effect {
                 ClassEffect::Safe => Effect::Replayable,
                 ClassEffect::Keyed => Effect::Referenced(millis(class.repeat_window)),
--- a/crates/fernknot-engine/benches/multiget.rs
+++ b/crates/fernknot-engine/benches/multiget.rs
@@ -11,6 +11,7 @@
         hard_limit: Nanos::from_millis(3000.0),
         earnings: 1.0,
         late_share: 0.0,
+        squared: false,
         effect: Effect::Replayable,
         stretch: 0.0,
         need: 1.0,
--- a/crates/fernknot-engine/tests/common/mod.rs
+++ b/crates/fernknot-engine/tests/common/mod.rs
@@ -23,6 +23,7 @@
         hard_limit: ms(HARD),
         earnings: 1.0,
         late_share: 0.0,
+        squared: false,
         effect,
         stretch: 0.0,
         need: 1.0,
--- a/crates/fernknot-lab/src/two_phase.rs
+++ b/crates/fernknot-lab/src/two_phase.rs
@@ -106,6 +106,7 @@
             hard_limit: millis(HARD_LIMIT_MS),
             earnings: 1.0,
             late_share: 0.0,
+            squared: false,
             effect: Effect::Replayable,
             stretch: 0.0,
             need: 1.0,
--- a/crates/fernknot-sluice/src/routes.rs
+++ b/crates/fernknot-sluice/src/routes.rs
@@ -52,7 +52,9 @@
         hard_limit: Nanos::from_millis(route.deadline_ms as f64),
         // A lower rank goes before a higher one, each half as much as the one before.
         earnings: 0.5f64.powi(route.rank.min(30) as i32),
-        late_share: 1.0,
+        // What a late answer earns is not told; a third is what it usually does.
+        late_share: 1.0 / 3.0,
+        squared: matches!(route.to, Target::Fanout { .. }),
         effect,
         stretch: 0.0,
         need: 1.0,
--- a/src/decide/answer.rs
+++ b/src/decide/answer.rs
@@ -4,6 +4,8 @@
 
 /// How long before an end the last answer is given, in ticks of the host.
 const END_TICKS: f64 = 4.0;
+/// A partial answer is held back for one expected to be worth so many times as much.
+const WORTH_MORE: f64 = 1.05;
 
 impl Router {
     /// All that is decided of one multiget, in the order in which it matters.
@@ -35,12 +37,15 @@
             let weights = multiget.step().iter().filter(|part| keep(part)).map(|part| part.weight);
             weights.sum::<f64>() + multiget.opened.map_or(0.0, |step| step.base) + ROUNDING
         };
+        let last = until.min(client_end);
         let waits = multiget.step().is_empty();
         let answered = weigh(|part| part.answered);
         let reachable = weigh(|part| part.answered || !part.given_up);
         if answered >= whole {
             self.settle(now, id, !second || multiget.first_whole);
-        } else if answered >= least && (now >= aim_end || reachable <= answered) {
+        } else if answered >= least
+            && (reachable <= answered || now >= aim_end && !self.gains_late(now, multiget, answered, last))
+        {
             self.settle(now, id, false);
         } else if now >= client_end || !waits && (reachable < least || now >= until) {
             self.give_up(now, id);
@@ -94,6 +99,19 @@
         self.touched.push_back(id);
     }
 
+    /// Whether waiting until `last` promises more than the partial answer that can be given now.
+    fn gains_late(&self, now: Nanos, multiget: &Multiget, answered: f64, last: Nanos) -> bool {
+        let case = &self.use_cases[multiget.use_case.0];
+        let worth = if now < multiget.aim_end { case.late_share } else { 1.0 };
+        let (mut mean, mut spread) = (answered, 0.0);
+        for part in multiget.step().iter().filter(|part| !part.answered) {
+            let missed = self.missed(now, part, last - now);
+            mean += part.weight * (1.0 - missed);
+            spread += part.weight * part.weight * missed * (1.0 - missed);
+        }
+        case.squared && worth * (mean * mean + spread) > WORTH_MORE * answered * answered
+    }
+
     pub(super) fn look_again(&mut self, id: MultigetId, at: Nanos) {
         if let Some(multiget) = self.open.get_mut(&id) {
             self.due.remove(&(multiget.look_at, id));
--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -6,6 +6,8 @@
 const PRIOR: f64 = 3.0;
 /// Replicas whose share of answers in time differs by less are equal.
 const PHI_STEP: f64 = 0.08;
+/// One in another zone goes before an equal one only if it is quicker by this share of the time left.
+const FAR: f64 = 0.25;
 
 impl Router {
     /// The share of a replica's answers within `target`, over sizes; one not heard from counts as average.
@@ -48,7 +50,9 @@
             let phi = self.phi(node, part.kind, target.max(0.0) / part.size);
             let order = (index + holders.len() - turn % holders.len()) % holders.len();
             let far = self.zone.is_some() && node.zone != self.zone;
-            let key = ((delay / step) as u64, far, order);
+            // Bytes between zones are paid for: another zone has to be quicker by a share of the time left.
+            let lag = if far { left.0 as f64 * FAR } else { 0.0 };
+            let key = (((delay + lag) / step) as u64, far, order);
             Some((phi, key, Offer { node: *id, delay: Nanos(delay as u64), phi }))
         };
         let offers: Vec<_> = holders.iter().enumerate().filter_map(offer).collect();
--- a/src/decide/further.rs
+++ b/src/decide/further.rs
@@ -51,7 +51,7 @@
                 continue;
             }
             // Guards against failures and silence: another is tried if in time, beside the first if likelier.
-            let missed: f64 = part.out().map(|sent| 1.0 - self.still(now, &part, sent, left)).product();
+            let missed = self.missed(now, &part, left);
             let offer = self.choose(now, &part, left, &Loads::new()).filter(|offer| {
                 let gains = missed * offer.phi >= LATE_GAIN && self.may_copy(now, LATE_SHARE);
                 now + offer.delay < until && (out == 0 || gains)
@@ -78,6 +78,11 @@
         sent.expected.times(OVERDUE).max(self.shortest_goal.times(OVERDUE_GOAL))
     }
 
+    /// The chance that no hand-off of a part that is still out is answered within `left`.
+    pub(super) fn missed(&self, now: Nanos, part: &Part, left: Nanos) -> f64 {
+        part.out().map(|sent| 1.0 - self.still(now, part, sent, left)).product()
+    }
+
     /// The chance that a hand-off still out is answered within `left`, by all answers that took as
     /// long. Guards a jam against being fed with copies, and what is late against passing for lost.
     pub(super) fn still(&self, now: Nanos, part: &Part, sent: &HandOff, left: Nanos) -> f64 {
@@ -131,15 +136,8 @@
         } else {
             self.spent.send_further(now, part.shard);
         }
-        part.hand_offs.push(HandOff {
-            node: offer.node,
-            sent: now,
-            expected: offer.delay,
-            ahead: node.holds(now - self.shortest_goal),
-            outcome: None,
-            called_off: false,
-            missed: false,
-        });
+        let ahead = node.holds(now - self.shortest_goal);
+        part.hand_offs.push(HandOff::new(offer, now, ahead));
         self.ready.push_back(Decision::HandOff { part: id, node: offer.node, stop_at });
         self.tell(now, offer.node, News::Sent);
     }
--- a/src/decide/learn.rs
+++ b/src/decide/learn.rs
@@ -92,24 +92,7 @@
         let asked = if cut { now.min(arrival.client_end - case.hard_limit) } else { now };
         let end = |after: Nanos| (asked + after + stretch).min(arrival.client_end).max(now);
         let until = if case.late_share > 0.0 { arrival.client_end } else { end(case.goal) };
-        let multiget = Multiget {
-            use_case: arrival.use_case,
-            customer: arrival.customer,
-            aim_end: end(case.goal),
-            until,
-            whole_ends: (end(case.goal), until),
-            client_end: arrival.client_end,
-            second: None,
-            promised: 0.0,
-            opened: None,
-            parts: Vec::new(),
-            step_from: 0,
-            fresh: true,
-            scouting: false,
-            first_whole: true,
-            look_at: Nanos(0),
-            ended: false,
-        };
+        let multiget = Multiget::new(arrival, end(case.goal), until);
         self.open.insert(arrival.multiget, multiget);
         self.spent.all.taken.add(now, 1.0);
         self.touched.push_back(arrival.multiget);
@@ -159,18 +142,7 @@
         // A first phase only asks.
         let effect = if multiget.second.is_some() { Effect::Replayable } else { case.effect };
         let kind = (use_case, multiget.opened.is_some());
-        multiget.parts.push(Part {
-            id: arrival.part,
-            shard: arrival.shard,
-            weight: arrival.weight,
-            size,
-            hint,
-            effect,
-            kind,
-            hand_offs: Vec::new(),
-            answered: false,
-            given_up: false,
-        });
+        multiget.parts.push(Part { hint, effect, kind, ..Part::new(arrival, use_case, size) });
         self.spent.take(now, arrival.shard);
         if multiget.step().len() == 1 {
             self.touched.push_back(arrival.part.of);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -79,7 +79,10 @@
     /// How long a client waits in all, over all its tries.
     pub hard_limit: Nanos,
     pub earnings: f64,
+    /// The worth of a late answer, as a share.
     pub late_share: f64,
+    /// The worth of a partial answer is the square of the share that is in.
+    pub squared: bool,
     pub effect: Effect,
     /// The goal time grows by this multiple of the multiget's own work.
     pub stretch: f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -370,6 +370,20 @@
 /// Sizes of work by node.
 pub type Loads = BTreeMap<NodeId, f64>;
 
+impl HandOff {
+    pub fn new(offer: &Offer, sent: Nanos, ahead: f64) -> HandOff {
+        HandOff {
+            node: offer.node,
+            sent,
+            expected: offer.delay,
+            ahead,
+            outcome: None,
+            called_off: false,
+            missed: false,
+        }
+    }
+}
+
 /// A use case, and whether it is the second of its two phases.
 pub type Kind = (UseCaseId, bool);
 
@@ -389,6 +403,22 @@
 }
 
 impl Part {
+    /// One that may be repeated, of a first phase, with no hint.
+    pub fn new(arrival: &PartArrival, use_case: UseCaseId, size: f64) -> Part {
+        Part {
+            id: arrival.part,
+            shard: arrival.shard,
+            weight: arrival.weight,
+            size,
+            hint: None,
+            effect: Effect::Replayable,
+            kind: (use_case, false),
+            hand_offs: Vec::new(),
+            answered: false,
+            given_up: false,
+        }
+    }
+
     pub fn out(&self) -> impl Iterator<Item = &HandOff> {
         self.hand_offs.iter().filter(|sent| sent.outcome.is_none())
     }
@@ -425,6 +455,27 @@
 }
 
 impl Multiget {
+    pub fn new(arrival: &Arrival, aim_end: Nanos, until: Nanos) -> Multiget {
+        Multiget {
+            use_case: arrival.use_case,
+            customer: arrival.customer,
+            aim_end,
+            until,
+            whole_ends: (aim_end, until),
+            client_end: arrival.client_end,
+            second: None,
+            promised: 0.0,
+            opened: None,
+            parts: Vec::new(),
+            step_from: 0,
+            fresh: true,
+            scouting: false,
+            first_whole: true,
+            look_at: Nanos(0),
+            ended: false,
+        }
+    }
+
     pub fn step(&self) -> &[Part] {
         &self.parts[self.step_from..]
     }
@@ -440,6 +491,7 @@
     /// The longest that a client has been seen to stay for one try.
     pub stay: Nanos,
     pub late_share: f64,
+    pub squared: bool,
     pub earnings: f64,
     pub effect: Effect,
     pub stretch: f64,
@@ -462,6 +514,7 @@
             goal: facts.goal,
             hard_limit: facts.hard_limit,
             late_share: facts.late_share,
+            squared: facts.squared,
             earnings: facts.earnings,
             effect: facts.effect,
             stretch: facts.stretch,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -24,6 +24,7 @@
         hard_limit: ms(HARD),
         earnings: 1.0,
         late_share,
+        squared: false,
         effect,
         stretch: 0.0,
         need: 1.0,
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -229,3 +229,34 @@
     let whole = Decision::Settle { multiget: id, whole: false, last: true };
     assert_eq!(host.finals(id), Vec::from_iter(settled.then_some(whole)));
 }
+
+/// Late answers earn half, and partial ones the square of their share.
+#[test_case(true, 2, true; "half of it waits for a whole that is late")]
+#[test_case(true, 3, false; "three quarters earn more at once")]
+#[test_case(false, 2, false; "where shares count as they are")]
+fn given_parts_that_are_likely_late_when_the_aim_ends_then_the_worth_decides(
+    squared: bool,
+    answered: usize,
+    waits: bool,
+) {
+    let mut site = routes();
+    (site.use_cases[GATHERED].squared, site.use_cases[GATHERED].late_share) = (squared, 0.5);
+    let mut host = host(site, 5, 2);
+    // A fifth shard shows how long a late answer takes.
+    let ids: Vec<_> = (0..8).map(|_| host.take(GATHERED, &[0.2; 5])).collect();
+    host.pass(20.0);
+    ids.iter().for_each(|id| (0..4).for_each(|index| host.end(*id, index, 0, Outcome::Answered, 20.0)));
+    host.pass(1480.0);
+    ids.iter().for_each(|id| host.end(*id, 4, 0, Outcome::Answered, 1500.0));
+    let id = host.take(GATHERED, &[0.25; 4]);
+    host.pass(20.0);
+    (0..answered).for_each(|index| host.end(id, index, 0, Outcome::Answered, 20.0));
+    host.pass(GOAL - 20.0);
+    assert_eq!(host.finals(id).is_empty(), waits);
+    if waits {
+        host.pass(500.0);
+        (answered..4).for_each(|index| host.end(id, index, 0, Outcome::Answered, 1500.0));
+        host.pull();
+        assert_eq!(host.finals(id), [Decision::Settle { multiget: id, whole: true, last: true }]);
+    }
+}
