Shuffle partial views by datagrams, and try a registrar again at once when it speaks

Change: datagrams in the loop, fernknot-overlay hosted by the gateway; a registrar that says Hello is connected to at once, hung connections are given up after 0.3 of the time of suspicion.

--- a/crates/fernknot-conduit/src/lib.rs
+++ b/crates/fernknot-conduit/src/lib.rs
@@ -3,8 +3,10 @@
 //! A connection carries one type each way. What cannot be read ends the connection: there is no telling
 //! where the next word begins.
 
+mod shuffles;
 mod words;
 
+pub use shuffles::{Shuffle, Shuffles};
 pub use words::{Inward, Outward, PeerWord, Question, Registrar, Share};
 
 use bitcode::{DecodeOwned, Encode};
--- a/crates/fernknot-headworks/src/peers.rs
+++ b/crates/fernknot-headworks/src/peers.rs
@@ -54,7 +54,7 @@
             known: BTreeMap::new(),
             first_pause: suspect.times(0.1),
             last_pause: suspect.times(2.0),
-            connect_within: suspect,
+            connect_within: suspect.times(0.3),
         }
     }
 
@@ -81,8 +81,12 @@
         peer.heard = Some(now);
         if let Some(zone) = zone {
             peer.zone = Some(zone.to_string());
-            if let Link::Down { at, .. } = &mut peer.link {
-                *at = now;
+            match &mut peer.link {
+                Link::Down { at, .. } => *at = now,
+                // Begun while it had no power: its first packet is lost and is sent again after a second. Guards
+                // the return of all at once, when each begins before the others are there.
+                Link::Begun { at } if now - *at > self.first_pause => *at = Nanos(0),
+                _ => {}
             }
         }
     }
@@ -117,7 +121,9 @@
                 }
                 // A machine without power, or behind a cut, gives no answer at all.
                 Link::Begun { at } if now - at >= self.connect_within => {
-                    peer.link = Link::Down { at: now + self.last_pause.times(0.25), pause: self.first_pause };
+                    let lately = peer.heard.is_some_and(|heard| now - heard < self.connect_within);
+                    let wait = if lately { Nanos(0) } else { self.first_pause };
+                    peer.link = Link::Down { at: now + wait, pause: self.first_pause };
                     return Some(Do::GiveUp(*addr));
                 }
                 _ => {}
--- a/crates/fernknot-penstock/src/dock.rs
+++ b/crates/fernknot-penstock/src/dock.rs
@@ -2,7 +2,7 @@
 
 use fernknot_protocol::buffer::Buffer;
 use mio::event::Source;
-use mio::net::{TcpListener, TcpStream};
+use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Events, Interest, Poll, Token, Waker};
 use std::collections::{BTreeSet, HashMap};
 use std::io::{ErrorKind, Read, Write};
@@ -47,6 +47,8 @@
     Ended { berth: Berth },
     /// The connection is gone, whatever its input still holds; `opened` if it ever was up.
     Gone { berth: Berth, opened: bool, why: NetError },
+    /// A datagram came to a socket of `datagrams`.
+    Datagram { from: SocketAddrV4, bytes: Vec<u8> },
     /// Another thread asked for a turn.
     Woken,
 }
@@ -69,6 +71,7 @@
     facts: DockFacts,
     links: HashMap<Berth, Link>,
     listeners: HashMap<Berth, TcpListener>,
+    datagrams: Option<(Berth, UdpSocket)>,
     next: u64,
     /// To be written at the end of the turn.
     dirty: BTreeSet<Berth>,
@@ -81,6 +84,9 @@
 
 const WAKER: Token = Token(0);
 const READ: usize = 16 * 1024;
+/// Bytes of one datagram, and datagrams that one turn reads.
+const DATAGRAM: usize = 2048;
+const DATAGRAMS: usize = 256;
 
 fn v4(addr: SocketAddr) -> SocketAddrV4 {
     match addr {
@@ -101,6 +107,7 @@
             facts,
             links: HashMap::new(),
             listeners: HashMap::new(),
+            datagrams: None,
             next: 1,
             dirty: BTreeSet::new(),
             more: BTreeSet::new(),
@@ -142,6 +149,43 @@
         Ok(berth)
     }
 
+    /// Opens the one socket for datagrams, at this address.
+    ///
+    /// # Errors
+    /// Where the address cannot be had.
+    pub fn listen_datagrams(&mut self, addr: SocketAddrV4) -> Result<(), NetError> {
+        let fail = |why| NetError { step: "listen for datagrams at", peer: addr, why };
+        let mut socket = UdpSocket::bind(addr.into()).map_err(fail)?;
+        let berth = self.name();
+        let token = Token(berth.0 as usize);
+        self.poll.registry().register(&mut socket, token, Interest::READABLE).map_err(fail)?;
+        self.datagrams = Some((berth, socket));
+        Ok(())
+    }
+
+    /// Sends a datagram, which may be lost; one that cannot be sent now is.
+    pub fn send_datagram(&self, to: SocketAddrV4, bytes: &[u8]) {
+        if let Some((_, socket)) = &self.datagrams {
+            let _ = socket.send_to(bytes, to.into());
+        }
+    }
+
+    fn read_datagrams(&mut self, news: &mut Vec<Event>) {
+        let Some((_, socket)) = &self.datagrams else { return };
+        let mut room = [0; DATAGRAM];
+        // What is left beyond that waits for the next one to come: a flood does not hold the loop.
+        for _ in 0..DATAGRAMS {
+            match socket.recv_from(&mut room) {
+                Ok((count, from)) => {
+                    news.push(Event::Datagram { from: v4(from), bytes: room[..count].to_vec() });
+                }
+                Err(why) if why.kind() == ErrorKind::WouldBlock => return,
+                // An earlier one met a closed port.
+                Err(_) => {}
+            }
+        }
+    }
+
     /// Takes no further connections there.
     pub fn stop_listening(&mut self, berth: Berth) {
         if let Some(mut listener) = self.listeners.remove(&berth) {
@@ -258,6 +302,8 @@
                 news.push(Event::Woken);
             } else if self.listeners.contains_key(&berth) {
                 self.accept(berth, news);
+            } else if self.datagrams.as_ref().is_some_and(|(own, _)| *own == berth) {
+                self.read_datagrams(news);
             } else {
                 if writable {
                     self.writable(berth, news);
--- a/crates/fernknot-sluice/src/gateway.rs
+++ b/crates/fernknot-sluice/src/gateway.rs
@@ -7,11 +7,12 @@
 use crate::routes::{Names, Pinned};
 use fernknot::interface::*;
 use fernknot::state::Mwc;
-use fernknot_conduit::Share;
+use fernknot_conduit::{Share, Shuffles};
 use fernknot_config::{Limits, SocketFacts};
 use fernknot_duties::{Gateway as Me, LifeId};
 use fernknot_engine::{AskerId, Engine, Order, Verdict};
 use fernknot_intake::{Plan, ProcessFacts, Target};
+use fernknot_overlay::{Descriptor, Role};
 use fernknot_penstock::{Berth, Dock, DockFacts, Event, Signals};
 use fernknot_protocol::http::{Answer, GO_ON, Request, Response};
 use fernknot_protocol::multiget::{Asked, AskedPart};
@@ -24,9 +25,11 @@
 /// Descriptors that are neither clients' nor nodes'.
 const RESERVE: usize = 220;
 /// Granularity of the loop, which is also the estimate's network term.
-const TICK_MS: f64 = 2.0;
+const TICK_MS: f64 = 3.0;
 /// A stand-still of the loop past this share of `apply_ms` is one of the process.
 const AWAY: f64 = 1.0 / 6.0;
+/// Views are shuffled once in so many times `contact_ms`.
+const SHUFFLE: f64 = 2.0;
 /// A connection to a node that is not up by this share of `drain_cutoff_ms` is given up.
 const OPENS: f64 = 0.25;
 /// The readiness calls that the platform may need to hear that a gateway leaves, with a little more.
@@ -54,6 +57,7 @@
     next_node: u32,
     pinned: Option<Rc<Pinned>>,
     mains: Mains,
+    shuffles: Shuffles,
     inner: Berth,
     whole: bool,
     sharers: Option<u32>,
@@ -62,6 +66,7 @@
     stopping: Option<Instant>,
     tidy_at: Nanos,
     turned: Nanos,
+    reread_at: Nanos,
     counters: Counters,
 }
 
@@ -92,7 +97,16 @@
         let seeds: Vec<SocketAddrV4> =
             facts.seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), facts.port_range.0 + 1)).collect();
         let me = Me { life: LifeId(seed), addr: inner_addr, zone: facts.zone.clone() };
+        dock.listen_datagrams(inner_addr)?;
+        let own = Descriptor {
+            addr: inner_addr,
+            role: Role::Gateway,
+            zone: facts.zone.clone(),
+            life: seed,
+            age: 0,
+        };
         let contact = Nanos::from_millis(bounds.contact_ms);
+        let shuffles = Shuffles::new(own, &seeds, contact.times(SHUFFLE), seed);
         let mains = Mains::new(me, &seeds, Nanos::from_millis(bounds.apply_ms), contact, seed);
         let socket_facts = SocketFacts {
             use_cases: Vec::new(),
@@ -130,6 +144,7 @@
             next_node: 0,
             pinned: None,
             mains,
+            shuffles,
             inner,
             whole: false,
             sharers: None,
@@ -137,6 +152,7 @@
             stopping: None,
             tidy_at: Nanos(0),
             turned: Nanos(0),
+            reread_at: Nanos(0),
             counters: Counters::default(),
             facts,
         })
@@ -190,7 +206,9 @@
         match ProcessFacts::read(&bytes) {
             Ok(facts) => {
                 let inner = |seed: &SocketAddrV4| SocketAddrV4::new(*seed.ip(), facts.port_range.0 + 1);
-                self.mains.know(&facts.seeds.iter().map(inner).collect::<Vec<_>>());
+                let seeds: Vec<SocketAddrV4> = facts.seeds.iter().map(inner).collect();
+                self.mains.know(&seeds);
+                self.shuffles.seeds(&seeds);
             }
             Err(faults) => faults
                 .iter()
@@ -253,6 +271,11 @@
                     self.client_gone(now, berth);
                 }
             }
+            Event::Datagram { from, bytes } => {
+                if let Some(answer) = self.shuffles.came(now, from, &bytes) {
+                    self.dock.send_datagram(from, &answer);
+                }
+            }
             Event::Woken => {}
         }
     }
@@ -845,6 +868,19 @@
                 self.dock.close(berth);
             }
         }
+        while let Some((to, bytes)) = self.shuffles.next(now) {
+            self.dock.send_datagram(to, &bytes);
+        }
+        let apply = Nanos::from_millis(self.facts.bounds.apply_ms);
+        if self.mains.fresh_ago(now).is_none_or(|ago| ago > apply) {
+            // Registrars that no seed and no pulse names any more are found through neighbours, or by settings
+            // that changed without a word.
+            self.mains.know(&self.shuffles.registrars());
+            if now >= self.reread_at {
+                self.reread_at = now + Nanos::from_millis(self.facts.bounds.contact_ms);
+                self.reread();
+            }
+        }
         self.pool.expire(now);
         self.relist(now);
     }
