Views: ask the outgoing voters once, not without end; test faults and random schedules

Where all of the next view had installed it and that was no majority of the last, each look at the ballot asked again at once, so next() never ended. Now once, then at the pace of asking again.

--- a/crates/fernknot-views/src/ballots.rs
+++ b/crates/fernknot-views/src/ballots.rs
@@ -50,6 +50,7 @@
     value: Option<Value>,
     installed: BTreeMap<MemberId, Member>,
     chosen_at: Option<Nanos>,
+    outer_asked: bool,
     grace: Nanos,
 }
 
@@ -272,6 +273,7 @@
             value: None,
             installed: BTreeMap::new(),
             chosen_at: None,
+            outer_asked: false,
             grace: pulse,
         });
         // Nobody hears of the ballot before it is on disk: after a restart its number must not be
@@ -503,8 +505,12 @@
         let majority = votes.len() > voters(&view).count() / 2;
         let all = self.inner_installed(run);
         if !majority {
-            if all {
-                self.ask(); // now those who will not be in the view
+            // Now those who will not be in the view; after that at the pace of asking again.
+            if all && !run.outer_asked {
+                if let Some(run) = &mut self.run {
+                    run.outer_asked = true;
+                }
+                self.ask();
             }
             return;
         }
--- a/crates/fernknot-views/tests/common/mod.rs
+++ b/crates/fernknot-views/tests/common/mod.rs
@@ -44,6 +44,8 @@
     pub views: Option<Views>,
     pub life: u64,
     pub frozen: bool,
+    /// Taken away with its disk.
+    pub gone: bool,
     held_writes: Vec<(Ticket, Saved)>,
     told_full: bool,
 }
@@ -125,6 +127,7 @@
             views: None,
             life: 0,
             frozen: false,
+            gone: false,
             held_writes: Vec::new(),
             told_full: false,
         });
@@ -189,8 +192,16 @@
         self.machines[at].id = MemberId(self.ids);
     }
 
+    /// Takes the machine away for good; an empty one comes at another address.
+    pub fn replace(&mut self, at: usize) -> usize {
+        self.kill(at);
+        self.machines[at].gone = true;
+        let n = self.machines.len() as u8 + 1;
+        self.add(addr(n), false)
+    }
+
     pub fn restart(&mut self, at: usize) {
-        if self.machines[at].views.is_none() {
+        if self.machines[at].views.is_none() && !self.machines[at].gone {
             self.start(at, false);
         }
     }
@@ -229,7 +240,9 @@
 
     /// Carries out what the register at this machine orders.
     pub fn serve(&mut self, at: usize) {
+        let mut orders = 0;
         loop {
+            orders += 1;
             let now = Nanos(self.now);
             if self.machines[at].frozen {
                 return;
@@ -240,6 +253,7 @@
                 return;
             };
             let life = self.machines[at].life;
+            assert!(orders < 5_000, "no end of orders at machine {at}: {order:?}");
             match order {
                 Order::Say { to, word } => {
                     self.words += 1;
@@ -291,7 +305,7 @@
                         }
                     }
                     // A member that enters a view begins with all that was acknowledged before.
-                    let entered = self.views.get(&view.0).is_some();
+                    let entered = self.views.contains_key(&view.0);
                     if entered && self.views.keys().next_back() == Some(&view.0) && no < newest {
                         let first = self.machines[at].views.as_ref().is_some_and(|v| v.is_sequencer());
                         if first {
@@ -333,12 +347,15 @@
     /// Plays on for this long.
     pub fn play(&mut self, span: u64) {
         let end = self.now + span;
+        let mut steps = 0;
         while let Some((std::cmp::Reverse((when, _)), _)) = self.queue.peek() {
             if *when > end {
                 break;
             }
             let (std::cmp::Reverse((when, serial)), _) = self.queue.pop().unwrap();
             self.now = when;
+            steps += 1;
+            assert!(steps < 300_000, "no end of events");
             let Some(event) = self.events.remove(&serial) else { continue };
             self.happen(event);
         }
@@ -429,11 +446,16 @@
     /// Whether a new proposal is taken within this long; tells how long it took.
     pub fn goes_on(&mut self, within: u64) -> Option<u64> {
         let begin = self.now;
+        let newest = self.taken.values().copied().max();
         let mut tried = Vec::new();
         while self.now - begin < within {
             tried.extend(self.propose());
             self.play(10 * MS);
-            if tried.iter().any(|proposal| self.taken.contains_key(proposal)) {
+            if let Some(no) = tried.iter().find_map(|proposal| self.taken.get(proposal)) {
+                if Some(*no) <= newest {
+                    let what = format!("{no:?} was given out again, acknowledged was {newest:?}");
+                    self.broken.get_or_insert(what);
+                }
                 return Some(self.now - begin);
             }
         }
@@ -455,3 +477,94 @@
         view.map(|view| view.members.iter().map(|member| member.id).collect()).unwrap_or_default()
     }
 }
+
+/// One trouble of a random schedule.
+#[derive(Clone, Copy, Debug)]
+pub enum Trouble {
+    Kill(usize),
+    KillAll,
+    Restart(usize),
+    /// A disk is lost, alone or while all others lose power.
+    Wipe(usize, bool),
+    Replace(usize),
+    Cut(usize, usize),
+    Mend,
+    Freeze(usize),
+    Thaw(usize),
+    Disk(usize, u8),
+    Links(u64, u64, u64),
+    Propose,
+    Play(u64),
+}
+
+impl Fleet {
+    /// All disks that count hold what was acknowledged: only then may one more be lost.
+    fn may_lose_a_disk(&self) -> bool {
+        let live = self.machines.iter().filter(|machine| !machine.gone).count();
+        let up = self.machines.iter().filter(|machine| machine.views.is_some() && !machine.frozen).count();
+        live == up && self.agree() && self.members().len() == live && self.cuts.is_empty()
+    }
+
+    pub fn suffer(&mut self, trouble: Trouble) {
+        let count = self.machines.len();
+        match trouble {
+            Trouble::Kill(at) => self.kill(at % count),
+            Trouble::KillAll => (0..count).for_each(|at| self.kill(at)),
+            Trouble::Restart(at) => self.restart(at % count),
+            Trouble::Wipe(at, all) => {
+                if self.may_lose_a_disk() && !self.machines[at % count].gone {
+                    self.wipe(at % count);
+                    if all {
+                        (0..count).for_each(|other| self.kill(other));
+                    }
+                }
+            }
+            Trouble::Replace(at) => {
+                if self.may_lose_a_disk() && !self.machines[at % count].gone && count < 12 {
+                    self.replace(at % count);
+                }
+            }
+            Trouble::Cut(a, b) => {
+                let (a, b) = (self.machines[a % count].addr, self.machines[b % count].addr);
+                self.cuts.insert((a, b));
+            }
+            Trouble::Mend => self.cuts.clear(),
+            Trouble::Freeze(at) => self.machines[at % count].frozen = true,
+            Trouble::Thaw(at) => self.machines[at % count].frozen = false,
+            Trouble::Disk(at, kind) => {
+                self.disk(at % count, [Disk::Well, Disk::Hangs, Disk::Full][kind as usize % 3]);
+            }
+            Trouble::Links(lose, double, late) => (self.lose, self.double, self.late) = (lose, double, late),
+            Trouble::Propose => {
+                self.propose();
+            }
+            Trouble::Play(span) => self.play(span * MS),
+        }
+    }
+
+    /// Plays a schedule, ends the faults, and tells what was broken.
+    pub fn schedule(&mut self, troubles: &[Trouble]) -> Result<u64, String> {
+        self.play(1_000 * MS);
+        for trouble in troubles {
+            self.suffer(*trouble);
+            self.play(5 * MS);
+            if let Some(broken) = &self.broken {
+                return Err(broken.clone());
+            }
+        }
+        self.heal();
+        let took = self.goes_on(8 * SUSPECT);
+        self.play(6 * SUSPECT);
+        self.goes_on(SUSPECT);
+        self.play(SUSPECT);
+        if let Some(broken) = &self.broken {
+            return Err(broken.clone());
+        }
+        let took = took.ok_or("nothing is taken after the faults")?;
+        let live = self.machines.iter().filter(|machine| !machine.gone).count();
+        if !self.agree() || self.members().len() != live {
+            return Err(format!("not all in one view after the faults: {:?} of {live}", self.members()));
+        }
+        Ok(took)
+    }
+}
