--- /dev/null
+++ b/crates/fernknot-sluice/tests/answers.rs
@@ -0,0 +1,193 @@
+//! What nodes answer, and what clients get of it.
+
+mod common;
+
+use common::{buffer, limits, request, response};
+use fernknot::interface::*;
+use fernknot_intake::{Class, ClientLimits, Plan, Route, Target};
+use fernknot_penstock::{Berth, Buffer};
+use fernknot_sluice::asks::{Ask, Verdict, judge};
+use fernknot_sluice::lines::{Heard, Lines};
+use fernknot_sluice::routes::{Names, Pinned};
+use std::rc::Rc;
+use test_case::test_case;
+
+const OWN: &str = "Attempt-Id: a1\r\n";
+const SEALED: &str = "Attempt-Id: a1\r\nAnswer-Seal: s\r\n";
+
+#[test_case("200 OK", SEALED, Verdict::Part; "a success with its seal")]
+#[test_case("200 OK", OWN, Verdict::Failed; "a success without a seal")]
+#[test_case("200 OK", "Attempt-Id: a1\r\nAnswer-Seal: s\r\nContent-Encoding: gzip\r\n", Verdict::Failed; "coded bytes")]
+#[test_case("200 OK", "Attempt-Id: a0\r\nAnswer-Seal: s\r\n", Verdict::Stray; "the late answer to another try")]
+#[test_case("200 OK", "Answer-Seal: s\r\n", Verdict::Stray; "an answer to nobody knows what")]
+#[test_case("500 Oops", SEALED, Verdict::Failed; "a failure that bears a seal")]
+#[test_case("503 Full", "Attempt-Id: a1\r\nNot-Executed: 1\r\n", Verdict::NotRun { stranger: false }; "turned away")]
+#[test_case("503 Full", OWN, Verdict::Failed; "a 503 that does not say so may have run")]
+#[test_case("421 Other", OWN, Verdict::NotRun { stranger: true }; "another life at the address")]
+fn given_a_head_then_its_worth_is(status: &str, headers: &str, wanted: Verdict) {
+    let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 2\r\n\r\nok");
+    assert_eq!(judge(&response(&text), "a1"), wanted);
+}
+
+#[test]
+fn given_a_success_whose_end_no_head_tells_then_it_is_no_part() {
+    let text = format!("HTTP/1.1 200 OK\r\n{SEALED}\r\ncut sho");
+    assert_eq!(judge(&response(&text), "a1"), Verdict::Failed);
+}
+
+fn plan(to: Target) -> Plan {
+    let route = Route {
+        name: "r".into(),
+        authority: "h.example".into(),
+        path_prefix: "/a/".into(),
+        traffic_class: Class::Idempotent,
+        deadline_ms: 600,
+        target_ms: 60,
+        rank: 0,
+        to,
+        tries: 2,
+    };
+    Plan { epoch: 1, routes: vec![route], services: Vec::new(), limits: ClientLimits::default() }
+}
+
+fn pinned(to: Target) -> Rc<Pinned> {
+    Rc::new(Names::default().pin(Nanos(0), 1, plan(to), Nanos(0)).0)
+}
+
+fn ask(to: Target, text: &str, parts: usize) -> Ask {
+    Ask::new(Berth(7), pinned(to), 0, "a1".into(), Nanos(600), request(text), parts)
+}
+
+fn shards(count: usize, quorum: f64) -> Target {
+    Target::Fanout { shards: (0..count).map(|shard| format!("s{shard}")).collect(), top_k: 2, quorum }
+}
+
+fn part(seal: &str, records: &str) -> String {
+    let length = records.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nAnswer-Seal: {seal}\r\nContent-Length: {length}\r\n\r\n{records}"
+    )
+}
+
+#[test]
+fn given_a_request_then_nodes_get_all_of_it_but_what_concerns_one_connection() {
+    let text = "POST /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: 600\r\n\
+                Connection: close\r\nTarget-Node: forged\r\nX-Own: kept\r\nContent-Length: 4\r\n\r\nbody";
+    let ask = ask(Target::Backend("s".into()), text, 1);
+    let mut out = Buffer::default();
+    ask.send(&mut out, "i-1", Nanos(42_900_000));
+    let sent = String::from_utf8(out.data().to_vec()).unwrap();
+    assert_eq!(
+        sent,
+        "POST /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nX-Own: kept\r\nContent-Length: 4\r\n\
+         Deadline-Ms: 42\r\nTarget-Node: i-1\r\n\r\nbody"
+    );
+}
+
+#[test]
+fn given_parts_of_three_shards_of_four_then_the_answer_names_them_and_what_is_missing() {
+    let mut ask = ask(shards(4, 0.75), "GET /a/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n\r\n", 4);
+    for (index, records) in ["0000000000000001", "0000000000000003", "0000000000000002"].iter().enumerate() {
+        ask.keep(index, response(&part(&format!("s{index}"), records)));
+    }
+    // A twin that comes later does not replace what is in.
+    ask.keep(0, response(&part("twin", "9999999999999999")));
+    let mut merged = Vec::new();
+    let answer = ask.settled(&mut merged).unwrap();
+    let header =
+        |name: &str| answer.headers.iter().find(|(key, _)| *key == name).map(|(_, value)| &value[..]);
+    assert_eq!(answer.status, 200);
+    assert_eq!(header("Part-Seals"), Some("s0, s1, s2"));
+    assert_eq!(header("Parts-Missing"), Some("1"));
+    assert_eq!(answer.body, b"00000000000000030000000000000002");
+}
+
+#[test]
+fn given_fewer_parts_than_the_quorum_then_there_is_no_success() {
+    let mut ask = ask(shards(4, 0.75), "GET /a/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n\r\n", 4);
+    ask.keep(2, response(&part("s2", "0000000000000001")));
+    assert!(ask.settled(&mut Vec::new()).is_none());
+}
+
+#[test_case(500, 500; "a node's own failure is passed on unchanged")]
+#[test_case(503, 502; "a promise that may be untrue is not")]
+#[test_case(429, 502; "nor is this one")]
+fn given_a_node_that_failed_then_the_client_gets(node: u16, client: u16) {
+    let text = "GET /a/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n\r\n";
+    let mut ask = ask(Target::Backend("s".into()), text, 1);
+    ask.keep_failure(response(&format!("HTTP/1.1 {node} Oops\r\n{SEALED}Content-Length: 2\r\n\r\nno")));
+    assert_eq!(ask.failed(502).status, client);
+}
+
+/// A line that carries the first hand-off of a part.
+fn line() -> (Lines, Berth, PartId) {
+    let (mut lines, berth, part) = (Lines::default(), Berth(3), PartId { of: MultigetId(1), index: 0 });
+    lines.know(NodeId(1), "i-1", "10.0.0.1:80".parse().unwrap());
+    lines.add(Nanos(0), berth, NodeId(1), part, HandOffNo(0));
+    (lines, berth, part)
+}
+
+#[test]
+fn given_a_whole_answer_then_the_line_serves_again() {
+    let (mut lines, berth, _) = line();
+    let mut input = buffer(&part("s", "0000000000000001"));
+    assert!(matches!(lines.read(berth, &mut input, false, &limits()), Heard::Answer { .. }));
+    assert!(lines.rest(berth, Nanos(10)));
+    assert_eq!(lines.idle(Nanos(5), NodeId(1)).0, Some(berth));
+}
+
+#[test]
+fn given_bytes_behind_an_answer_then_the_line_is_not_used_again() {
+    let (mut lines, berth, _) = line();
+    let mut input = buffer(&(part("s", "0000000000000001") + "HTTP/1.1 200 OK\r\n"));
+    assert!(matches!(lines.read(berth, &mut input, false, &limits()), Heard::Answer { .. }));
+    assert!(!lines.rest(berth, Nanos(10)));
+}
+
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nshort", true; "an answer cut short")]
+#[test_case("not an answer at all\r\n\r\n", false; "bytes that form none")]
+fn given_no_answer_then_the_line_is_spoilt(text: &str, ended: bool) {
+    let (mut lines, berth, part) = line();
+    assert!(matches!(lines.read(berth, &mut buffer(text), ended, &limits()), Heard::Spoilt));
+    assert_eq!(lines.lost(berth), Some((part, HandOffNo(0))));
+}
+
+#[test]
+fn given_bytes_on_an_idle_line_then_they_belong_to_nobody() {
+    let (mut lines, berth, _) = line();
+    let mut input = buffer(&part("s", "0000000000000001"));
+    lines.read(berth, &mut input, false, &limits());
+    lines.rest(berth, Nanos(10));
+    let mut late = buffer(&part("s", "0000000000000001"));
+    assert!(matches!(lines.read(berth, &mut late, false, &limits()), Heard::Spoilt));
+}
+
+#[test]
+fn given_a_life_that_is_gone_then_its_idle_lines_are_closed_and_others_not_used_again() {
+    let (mut lines, berth, _) = line();
+    let other = Berth(4);
+    lines.add(Nanos(0), other, NodeId(1), PartId { of: MultigetId(2), index: 0 }, HandOffNo(0));
+    lines.read(other, &mut buffer(&part("s", "0000000000000001")), false, &limits());
+    lines.rest(other, Nanos(10));
+    assert_eq!(lines.forget(NodeId(1)), vec![other]);
+    lines.read(berth, &mut buffer(&part("s", "0000000000000001")), false, &limits());
+    assert!(!lines.rest(berth, Nanos(10)));
+}
+
+#[test]
+fn given_a_version_that_drops_a_route_then_its_number_is_free_only_once_nothing_of_it_is_in_hand() {
+    let mut names = Names::default();
+    let keep = Nanos(100);
+    let (first, _) = names.pin(Nanos(0), 1, plan(Target::Backend("s".into())), keep);
+    let with = |prefix: &str| {
+        let mut plan = plan(Target::Backend("s".into()));
+        plan.routes[0].path_prefix = prefix.into();
+        plan
+    };
+    let (second, _) = names.pin(Nanos(10), 2, with("/b/"), keep);
+    assert_ne!(first.use_case(0), second.use_case(0));
+    let (third, _) = names.pin(Nanos(50), 3, with("/c/"), keep);
+    assert_ne!(third.use_case(0), first.use_case(0));
+    let (fourth, _) = names.pin(Nanos(200), 4, with("/d/"), keep);
+    assert!([first.use_case(0), second.use_case(0)].contains(&fourth.use_case(0)));
+}
--- /dev/null
+++ b/crates/fernknot-sluice/tests/common/mod.rs
@@ -0,0 +1,37 @@
+//! Heads and bodies as they stand on the wire, read by the readers that the gateway uses.
+
+use fernknot::interface::Nanos;
+use fernknot_config::{Limits, SocketFacts};
+use fernknot_penstock::Buffer;
+use fernknot_protocol::http::{Request, RequestReader, Response, ResponseReader};
+
+pub fn limits() -> Limits {
+    let facts = SocketFacts {
+        use_cases: Vec::new(),
+        shards: 0,
+        streams: 1,
+        batch: 1,
+        idle: Nanos(1),
+        connect_within: Nanos(1),
+        drain_grace: Nanos(1),
+        longest_wait: Nanos(1),
+        phases: Vec::new(),
+        position: 0,
+        zones: Vec::new(),
+    };
+    Limits::new(1000, 64.0, &facts).unwrap()
+}
+
+pub fn buffer(text: &str) -> Buffer {
+    let mut buffer = Buffer::default();
+    buffer.push(text.as_bytes());
+    buffer
+}
+
+pub fn response(text: &str) -> Response {
+    ResponseReader::default().read(&mut buffer(text), true, &limits()).unwrap().unwrap()
+}
+
+pub fn request(text: &str) -> Request {
+    RequestReader::default().read(&mut buffer(text), &limits()).unwrap().unwrap()
+}
