--- a/crates/fernknot-basin/src/measure.rs
+++ b/crates/fernknot-basin/src/measure.rs
@@ -32,6 +32,7 @@
 #[derive(Clone, Debug)]
 pub struct Size {
     pub gateways: usize,
+    pub zones: usize,
     pub nodes: usize,
     pub routes: usize,
     pub changes_per_min: usize,
@@ -42,15 +43,26 @@
 impl Size {
     /// What stays as it is while one figure is varied.
     pub fn of(what: What, count: usize) -> Size {
-        let mut size =
-            Size { gateways: 4, nodes: 50, routes: 12, changes_per_min: 0, queries_per_s: 0, shards: 4 };
+        let mut size = Size {
+            gateways: 4,
+            zones: 3,
+            nodes: 50,
+            routes: 12,
+            changes_per_min: 0,
+            queries_per_s: 0,
+            shards: 4,
+        };
         match what {
             What::Gateways => size.gateways = count,
             What::Nodes => size.nodes = count,
             What::Routes => (size.routes, size.changes_per_min) = (count, 30),
             What::Changes => (size.routes, size.changes_per_min) = (100, count),
             What::Queries => (size.gateways, size.queries_per_s) = (1, count),
-            What::Shards => (size.gateways, size.queries_per_s, size.shards) = (1, 40, count),
+            // Two nodes a shard: a shard without any would be waited for.
+            What::Shards => {
+                (size.gateways, size.queries_per_s, size.shards) = (1, 40, count);
+                size.nodes = 2 * (count + 1);
+            }
         }
         size
     }
@@ -86,7 +98,8 @@
 /// # Errors
 /// Where the system is not up in time or takes no configuration.
 pub fn play(size: &Size, span: Duration) -> Result<Cost, RigError> {
-    let rig = Rig::start(Layout { gateways: size.gateways, log: "warn", ..Layout::default() })?;
+    let rig =
+        Rig::start(Layout { gateways: size.gateways, zones: size.zones, log: "warn", ..Layout::default() })?;
     rig.await_registrars(PATIENCE)?;
     let nodes = Nodes::new(rig.nodes_ip(), rig.control(), rig.layout().beat, rig.layout().seed);
     let fail = |step, why| RigError::Step { step, who: "the rig".into(), why };
--- a/crates/fernknot-basin/src/nodes.rs
+++ b/crates/fernknot-basin/src/nodes.rs
@@ -141,7 +141,8 @@
         let mut nodes = held(&self.shared.nodes);
         let addr = match listener.as_ref().map(TcpListener::local_addr).transpose()? {
             Some(SocketAddr::V4(addr)) => addr,
-            _ => SocketAddrV4::new(self.ip, 1 + (nodes.len() % 1000) as u16),
+            // No two share an address: the later one would be taken for the earlier one's heir.
+            _ => SocketAddrV4::new(self.ip, 1 + (nodes.len() % 65_000) as u16),
         };
         let node = Arc::new(Node {
             id,
--- a/crates/fernknot-basin/src/usage.rs
+++ b/crates/fernknot-basin/src/usage.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Usage {
     pub at: Instant,
-    /// User and system time of all threads since the start.
+    /// On a processor since the start, all threads.
     pub cpu: Duration,
     /// Resident memory, in bytes.
     pub resident: u64,
@@ -15,14 +15,30 @@
     pub descriptors: usize,
 }
 
+/// Time on a processor of all threads that live, in whole nanoseconds, where the kernel tells it.
+fn precise(pid: u32) -> Option<Duration> {
+    let mut sum = 0;
+    for task in std::fs::read_dir(format!("/proc/{pid}/task")).ok()?.flatten() {
+        let text = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
+        sum += text.split(' ').next()?.parse::<u64>().ok()?;
+    }
+    Some(Duration::from_nanos(sum))
+}
+
+/// User and system time in ticks, a hundredth of a second each on most machines.
+fn ticks(pid: u32) -> Option<Duration> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The name in parentheses may hold anything; the fields after it are numbers.
+    let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
+    let ticks = |at: usize| fields.get(at).and_then(|field| field.parse::<u64>().ok());
+    let ticks = ticks(11)? + ticks(12)?;
+    Some(Duration::from_secs_f64(ticks as f64 / rustix::param::clock_ticks_per_second() as f64))
+}
+
 impl Usage {
     /// None where the process is gone.
     pub fn of(pid: u32) -> Option<Usage> {
-        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-        // The name in parentheses may hold anything; the fields after it are numbers.
-        let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
-        let ticks = |at: usize| fields.get(at).and_then(|field| field.parse::<u64>().ok());
-        let ticks = ticks(11)? + ticks(12)?;
+        let cpu = precise(pid).or_else(|| ticks(pid))?;
         let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
         let line = |key: &str| {
             let line = status.lines().find_map(|line| line.strip_prefix(key))?;
@@ -31,7 +47,7 @@
         let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
         Some(Usage {
             at: Instant::now(),
-            cpu: Duration::from_secs_f64(ticks as f64 / rustix::param::clock_ticks_per_second() as f64),
+            cpu,
             resident: line("VmRSS:")? * 1024,
             peak: line("VmHWM:")? * 1024,
             descriptors,
--- a/crates/fernknot-cli/src/main.rs
+++ b/crates/fernknot-cli/src/main.rs
@@ -25,7 +25,7 @@
                                                        asks a process what it holds
        fernknot demo [--gateways N] [--seconds N]      starts a system on loopback and sends it queries
        fernknot measure gateways|nodes|routes|changes|queries|shards
-                        [--sizes N,N...] [--seconds N] [--json]
+                        [--sizes N,N...] [--seconds N] [--gateways N] [--zones N] [--json]
                                                        what each role costs, on loopback
        fernknot plan-capacity [--gateways N] [--nodes N] [--routes N] [--registrars N]
                               [--changes-a-day N] [--queries-per-s N] [--parts N] [--zones N] [--beat-ms N]
@@ -129,7 +129,13 @@
         "config" => return talk::config(&Words::read(&mut parser, &["base"], &[])?),
         "show" => return talk::show(&Words::read(&mut parser, &[], &[])?),
         "demo" => return demo::run(&Words::read(&mut parser, &["gateways", "seconds"], &[])?),
-        "measure" => return measure::run(&Words::read(&mut parser, &["sizes", "seconds"], &["json"])?),
+        "measure" => {
+            return measure::run(&Words::read(
+                &mut parser,
+                &["sizes", "seconds", "gateways", "zones"],
+                &["json"],
+            )?);
+        }
         "plan-capacity" => return capacity::run(&Words::read(&mut parser, &capacity::OPTIONS, &[])?),
         other => return Err(Fail::Usage(format!("{other}: is no command"))),
     }
--- a/crates/fernknot-cli/src/measure.rs
+++ b/crates/fernknot-cli/src/measure.rs
@@ -42,7 +42,10 @@
         ));
     }
     for count in sizes {
-        let cost = play(&Size::of(what, count), Duration::from_secs_f64(seconds)).map_err(failed)?;
+        let mut size = Size::of(what, count);
+        size.gateways = words.number("gateways")?.unwrap_or(size.gateways);
+        size.zones = words.number("zones")?.unwrap_or(size.zones);
+        let cost = play(&size, Duration::from_secs_f64(seconds)).map_err(failed)?;
         let mb = |bytes: f64| bytes / 1e6;
         if json {
             say(json!({
