--- a/crates/fernknot-views/src/types.rs
+++ b/crates/fernknot-views/src/types.rs
@@ -15,7 +15,7 @@
 }
 
 ids!(
-    /// One life of a disk: drawn at random by the host when a disk is empty, and kept on it.
+    /// One life of a disk: drawn at random by the host when a disk is empty, and kept on it. Never 0.
     MemberId,
     /// The number of a view; 0 stands for the founders before there is any view.
     ViewNo,
