Let registrars take part in the shuffles, and quieten the log of the disk's libraries

Cause: registrars that moved were known to gateways' neighbours only; fjall told of every step, and a start was logged as a hanging disk.

--- a/crates/fernknot-gauge/src/lib.rs
+++ b/crates/fernknot-gauge/src/lib.rs
@@ -29,18 +29,22 @@
     pub const DISK: &str = "disk";
 }
 
+/// Libraries that tell of every step they take; only their troubles are of use here.
+const TALKATIVE: [&str; 2] = ["fjall", "lsm_tree"];
+
 /// Begins the log: sentences of this level and above go to standard error.
 ///
 /// # Errors
 /// Where a log has begun already.
 pub fn begin(level: LevelFilter) -> Result<(), log::SetLoggerError> {
-    fern::Dispatch::new()
-        .format(|out, sentence, record| {
-            out.finish(format_args!("{} {}: {sentence}", letter(record.level()), record.target()));
-        })
-        .level(level)
-        .chain(std::io::stderr())
-        .apply()
+    let log = TALKATIVE.iter().fold(fern::Dispatch::new().level(level), |log, library| {
+        log.level_for(*library, level.min(LevelFilter::Warn))
+    });
+    log.format(|out, sentence, record| {
+        out.finish(format_args!("{} {}: {sentence}", letter(record.level()), record.target()));
+    })
+    .chain(std::io::stderr())
+    .apply()
 }
 
 fn letter(level: log::Level) -> char {
--- a/crates/fernknot-headworks/src/disk.rs
+++ b/crates/fernknot-headworks/src/disk.rs
@@ -149,14 +149,15 @@
         }
     }
 
-    /// Whether it writes, and in time.
-    pub fn is_well(&self) -> bool {
+    /// Whether it writes, and in time; not known before it has been read.
+    pub fn is_well(&self) -> Option<bool> {
         match &self.state {
-            State::Opening(_) => false,
+            State::Opening(_) => None,
             State::Open(cistern) => {
-                cistern.sound() && cistern.oldest_wait(Instant::now()).is_none_or(|wait| wait < self.patience)
+                let wait = cistern.oldest_wait(Instant::now());
+                Some(cistern.sound() && wait.is_none_or(|wait| wait < self.patience))
             }
-            State::Absent(_) => true,
+            State::Absent(_) => Some(true),
         }
     }
 
--- a/crates/fernknot-headworks/src/host.rs
+++ b/crates/fernknot-headworks/src/host.rs
@@ -3,9 +3,10 @@
 use crate::disk::Disk;
 use crate::registrar::{Ear, Order, Registrar, RegistrarFacts, Slot};
 use fernknot::interface::Nanos;
-use fernknot_conduit::{Inward, Outward, PeerWord, pull, push};
+use fernknot_conduit::{Inward, Outward, PeerWord, Shuffles, pull, push};
 use fernknot_gauge::part;
 use fernknot_intake::ProcessFacts;
+use fernknot_overlay::{Descriptor, Role};
 use fernknot_penstock::{Berth, Dock, DockFacts, Event, NetError, Signals};
 use fernknot_standpipe::{Pulled, Tap, TapFacts};
 use std::collections::HashMap;
@@ -29,6 +30,8 @@
 /// A silent connection from inside is dropped after so many spans of contact, a caller's after so many.
 const SILENT_CONTACTS: f64 = 2.0;
 const IDLE_CONTACTS: f64 = 15.0;
+/// Partial views are shuffled once in so many spans of contact, as at the gateways.
+const SHUFFLE_CONTACTS: f64 = 2.0;
 /// The part of the grace within which the order to stop is followed.
 const STOP_SHARE: f64 = 0.25;
 /// Bytes of a word from one who has not said who it is.
@@ -74,6 +77,7 @@
     outer: HashMap<SocketAddrV4, Berth>,
     brain: Registrar,
     disk: Disk,
+    shuffles: Shuffles,
     signals: Signals,
     tap: TapFacts,
     largest_word: usize,
@@ -149,6 +153,15 @@
         let control = facts.bind_addrs.control_addr.unwrap_or(SocketAddrV4::new(facts.ip, 0));
         let control = dock.listen(control)?;
         let inner = dock.listen(brain_facts.addr)?;
+        dock.listen_datagrams(brain_facts.addr)?;
+        let own = Descriptor {
+            addr: brain_facts.addr,
+            role: Role::Registrar,
+            zone: facts.zone.clone(),
+            life: seed,
+            age: 0,
+        };
+        let shuffles = Shuffles::new(own, &brain_facts.seeds, contact.times(SHUFFLE_CONTACTS), seed);
         let tap = TapFacts::new(links, facts.limits.memory_mb, body).map_err(HostError::Facts)?;
         let patience = span(apply.times(1.0 / 6.0));
         let bytes = (facts.limits.disk_mb * (1 << 20) as f64) as u64;
@@ -168,6 +181,7 @@
             lines: HashMap::new(),
             outer: HashMap::new(),
             disk,
+            shuffles,
             signals,
             tap,
             largest_word,
@@ -200,6 +214,9 @@
             }
             self.look_at_disk(now);
             self.follow(now);
+            while let Some((to, bytes)) = self.shuffles.next(now) {
+                self.dock.send_datagram(to, &bytes);
+            }
             if self.sweep_at <= now {
                 self.sweep(now);
             }
@@ -208,7 +225,8 @@
             {
                 return self.end();
             }
-            let mut due = self.brain.due().min(self.look_at).min(self.sweep_at);
+            let shuffle = self.shuffles.wakes_at().unwrap_or(self.look_at);
+            let mut due = self.brain.due().min(self.look_at).min(self.sweep_at).min(shuffle);
             if self.disk.is_writing() {
                 due = due.min(now + millis(self.facts.bounds.apply_ms).times(1.0 / 12.0));
             }
@@ -249,6 +267,7 @@
                     log::info!(target: part::FACTS, "{} seeds are named now", facts.seeds.len());
                 }
                 self.brain.seeds(now, &seeds(&facts));
+                self.shuffles.seeds(&seeds(&facts));
                 self.facts.seeds = facts.seeds;
             }
             Err(faults) => {
@@ -268,8 +287,9 @@
         for (ticket, ok) in self.disk.done() {
             self.brain.stored(now, ticket, ok);
         }
-        let well = self.disk.is_well();
-        self.brain.disk(now, well);
+        if let Some(well) = self.disk.is_well() {
+            self.brain.disk(now, well);
+        }
     }
 
     fn follow(&mut self, now: Nanos) {
@@ -396,7 +416,12 @@
             }
             // Half a connection is of no use: the answers of callers who close theirs are not read.
             Event::Ended { berth } | Event::Gone { berth, .. } => self.gone(now, berth),
-            Event::Woken | Event::Datagram { .. } => {}
+            Event::Datagram { from, bytes } => {
+                if let Some(answer) = self.shuffles.came(now, from, &bytes) {
+                    self.dock.send_datagram(from, &answer);
+                }
+            }
+            Event::Woken => {}
         }
     }
 
@@ -463,5 +488,9 @@
         let late: Vec<Berth> =
             self.lines.iter().filter(|(_, line)| late(line)).map(|(berth, _)| *berth).collect();
         late.into_iter().for_each(|berth| self.gone(now, berth));
+        if !self.brain.holds_lease() {
+            // Registrars that neither settings nor members name may be known to neighbours.
+            self.brain.seeds(now, &self.shuffles.registrars());
+        }
     }
 }
--- a/crates/fernknot-headworks/src/registrar.rs
+++ b/crates/fernknot-headworks/src/registrar.rs
@@ -152,6 +152,7 @@
     beat_at: Nanos,
     cut_look: bool,
     disk_ok: bool,
+    disk_was_ok: bool,
     lease: bool,
     stopping: bool,
     counters: Counters,
@@ -194,6 +195,7 @@
             beat_at: now,
             cut_look: true,
             disk_ok: true,
+            disk_was_ok: false,
             lease: false,
             stopping: false,
             counters: Counters::default(),
@@ -383,9 +385,12 @@
         self.tick(now);
         if self.disk_ok != ok {
             self.disk_ok = ok;
-            match ok {
-                true => self.note(Level::Info, part::DISK, "is well again".into()),
-                false => self.note(Level::Warn, part::DISK, "hangs or refuses".into()),
+            // At a start, the folder is built anew first: that is no trouble.
+            match (ok, self.disk_was_ok) {
+                (true, true) => self.note(Level::Info, part::DISK, "is well again".into()),
+                (true, false) => self.disk_was_ok = true,
+                (false, true) => self.note(Level::Warn, part::DISK, "hangs or refuses".into()),
+                (false, false) => {}
             }
             self.disk_word();
         }
