--- a/crates/fernknot-headworks/tests/changes.rs
+++ b/crates/fernknot-headworks/tests/changes.rs
@@ -10,7 +10,7 @@
 #[test_case(2)]
 #[test_case(3)]
 fn given_a_calm_fleet_when_any_registrar_takes_a_version_then_all_have_it_just_as_sent(at: usize) {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     let ears: Vec<u64> = (1..=3).map(|at| fleet.listen(at, Share::All, 0)).collect();
     assert_eq!(fleet.replace(at, 0, &plan(7, "one")), 200);
     fleet.run(ms(50));
@@ -22,9 +22,28 @@
     }
 }
 
+#[test_case(1, 1, 0; "alone")]
+#[test_case(2, 2, 0; "two")]
+#[test_case(5, 3, 2; "five of which three are named")]
+fn given_a_fleet_of_another_size_when_a_version_comes_then_it_is_taken_and_outlives_a_restart(
+    count: usize,
+    seeds: usize,
+    losses: usize,
+) {
+    let mut fleet = Fleet::new(count, seeds, losses);
+    assert_eq!(fleet.replace(count, 0, &plan(7, "one")), 200);
+    (1..=count).for_each(|at| fleet.kill(at));
+    (1..=losses).for_each(|at| fleet.wipe(at));
+    (1..=count).for_each(|at| fleet.start(at, false));
+    fleet.run(ms(8000));
+    for at in 1..=count {
+        assert_eq!(fleet.read(at), (200, plan(7, "one")), "read at {at}");
+    }
+}
+
 #[test]
 fn given_two_operators_when_both_build_on_one_version_then_exactly_one_is_acknowledged() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     assert_eq!(fleet.replace(1, 0, &plan(5, "one")), 200);
     let head = "POST /-/config/replace HTTP/1.1\r\nBase-Epoch: 5\r\n";
     let first = fleet.call(2, head, &plan(7, "two"));
@@ -39,7 +58,7 @@
 
 #[test]
 fn given_a_version_that_was_taken_when_all_restart_then_its_repeat_is_acknowledged_anywhere() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     assert_eq!(fleet.replace(2, 0, &plan(3, "one")), 200);
     assert_eq!(fleet.replace(2, 3, &plan(8, "two")), 200);
     (1..=3).for_each(|at| fleet.kill(at));
@@ -64,7 +83,7 @@
     base: u64,
     status: u16,
 ) {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     assert_eq!(fleet.replace(1, 0, &plan(4, "one")), 200);
     assert_eq!(fleet.replace(2, base, body), status);
     fleet.run(ms(50));
@@ -73,13 +92,13 @@
 
 #[test]
 fn given_a_call_without_its_base_when_it_comes_then_it_is_refused() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     assert_eq!(fleet.ask(1, "POST /-/config/replace HTTP/1.1\r\n", &plan(7, "a")), 400);
 }
 
 #[test]
 fn given_a_disk_that_hangs_when_a_version_comes_then_nobody_hears_of_it_before_it_is_safe() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     let ears: Vec<u64> = (1..=3).map(|at| fleet.listen(at, Share::All, 0)).collect();
     (1..=3).for_each(|at| fleet.disk(at, Writes::Hang));
     assert_eq!(fleet.replace(1, 0, &plan(7, "one")), 503);
@@ -94,7 +113,7 @@
 #[test_case(Writes::Hang; "hangs")]
 #[test_case(Writes::Fail; "is full")]
 fn given_one_bad_disk_when_a_version_is_repeated_then_the_others_take_it_in_time(writes: Writes) {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     fleet.disk(2, writes);
     let asked = fleet.now;
     while fleet.replace(1, 0, &plan(7, "one")) != 200 {
@@ -109,7 +128,7 @@
 #[test]
 fn given_an_acknowledged_version_when_a_disk_is_lost_and_all_restart_then_it_is_in_force() {
     for lost in 1..=3 {
-        let mut fleet = Fleet::new(3);
+        let mut fleet = Fleet::three();
         assert_eq!(fleet.replace(1, 0, &plan(7, "one")), 200);
         (1..=3).for_each(|at| fleet.kill(at));
         fleet.wipe(lost);
@@ -123,7 +142,7 @@
 
 #[test]
 fn given_a_machine_replaced_at_another_address_when_it_starts_empty_then_it_takes_the_place() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     assert_eq!(fleet.replace(1, 0, &plan(7, "one")), 200);
     fleet.remove(1);
     fleet.start(4, false);
@@ -138,7 +157,7 @@
 
 #[test]
 fn given_the_order_to_stop_when_the_sequencer_goes_then_the_next_change_waits_for_no_doubt() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     assert_eq!(fleet.replace(1, 0, &plan(7, "one")), 200);
     let now = fleet.now;
     let first = (1..=3).find(|at| !fleet.brain(*at).may_end()).expect("one is the sequencer");
--- a/crates/fernknot-headworks/tests/common/mod.rs
+++ b/crates/fernknot-headworks/tests/common/mod.rs
@@ -57,6 +57,7 @@
     /// Pairs between which nothing goes.
     cut: BTreeSet<(usize, usize)>,
     seeds: Vec<SocketAddrV4>,
+    losses: usize,
     /// Answers by caller.
     pub answers: BTreeMap<u64, (u16, String)>,
     /// What each listener has heard.
@@ -65,15 +66,22 @@
 }
 
 impl Fleet {
-    /// So many registrars that start for the first time, and enough time for them to find each other.
-    pub fn new(count: usize) -> Fleet {
+    /// Three registrars of which one may be lost.
+    pub fn three() -> Fleet {
+        Fleet::new(3, 3, 1)
+    }
+
+    /// So many registrars that start for the first time, the first few of them named as seeds, and enough time for
+    /// them to find each other.
+    pub fn new(count: usize, seeds: usize, losses: usize) -> Fleet {
         let mut fleet = Fleet {
             now: Nanos(1),
             machines: BTreeMap::new(),
             news: BTreeMap::new(),
             count: 0,
             cut: BTreeSet::new(),
-            seeds: (1..=count).map(addr).collect(),
+            seeds: (1..=seeds).map(addr).collect(),
+            losses,
             answers: BTreeMap::new(),
             heard: BTreeMap::new(),
             next: 0,
@@ -92,7 +100,7 @@
             zone: format!("zone-{at}"),
             seeds: self.seeds.clone(),
             bootstrap,
-            losses: 1,
+            losses: self.losses,
             beat: ms(1200),
             apply: ms(3000),
             contact: ms(4000),
--- a/crates/fernknot-headworks/tests/nodes.rs
+++ b/crates/fernknot-headworks/tests/nodes.rs
@@ -18,7 +18,7 @@
 
 #[test]
 fn given_listeners_everywhere_when_a_node_says_a_word_at_one_registrar_then_all_hear_it_at_once() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     let ears: Vec<u64> = (1..=3).map(|at| fleet.listen(at, Share::All, 0)).collect();
     for (said, heard) in [("ready", NodeState::Ready), ("draining", NodeState::Draining)] {
         assert_eq!(fleet.beat(2, "i-1", said, 1 + heard as u64), 200);
@@ -32,7 +32,7 @@
 
 #[test]
 fn given_a_registrar_that_is_cut_off_when_a_node_drains_there_then_it_is_sent_to_another() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     assert_eq!(fleet.beat(1, "i-1", "ready", 1), 200);
     fleet.cut_off(1);
     fleet.run(ms(2000));
@@ -54,7 +54,7 @@
 
 #[test]
 fn given_a_registrar_that_restarts_when_it_meets_the_others_then_it_knows_the_nodes_again() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     assert_eq!(fleet.beat(1, "i-1", "ready", 1), 200);
     fleet.run(ms(100));
     fleet.kill(1);
@@ -66,7 +66,7 @@
 
 #[test]
 fn given_a_listener_of_one_service_when_nodes_of_others_beat_then_it_hears_only_its_own() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     assert_eq!(fleet.beat(1, "i-1", "ready", 1), 200);
     let books = fleet.listen(1, Share::Services(vec!["books".into()]), 0);
     let films = fleet.listen(1, Share::Services(vec!["films".into()]), 0);
@@ -78,7 +78,7 @@
 
 #[test]
 fn given_gateways_at_all_registrars_when_one_leaves_by_order_then_the_next_cut_is_without_it() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::three();
     let ears: Vec<u64> = (1..=3).map(|at| fleet.listen(at, Share::All, 0)).collect();
     for _ in 0..8 {
         fleet.run(ms(500));
