--- a/crates/fernknot-config/src/facts.rs
+++ b/crates/fernknot-config/src/facts.rs
@@ -255,6 +255,7 @@
             must_ask: facts.discovery == "ask",
             peers: facts.allowed.peers,
             marks_repeats: facts.client_habits.marks_retry.unwrap_or(true),
+            refusals_cost: false,
             zone: facts.locality.filter(|_| facts.zones.len() > 1).map(ZoneId),
             by_work: facts.worth_by == WorthBy::Work,
         })
--- a/crates/fernknot-engine/benches/multiget.rs
+++ b/crates/fernknot-engine/benches/multiget.rs
@@ -38,6 +38,7 @@
         by_work: false,
         zone: None,
         marks_repeats: true,
+        refusals_cost: false,
     }
 }
 
--- a/crates/fernknot-engine/tests/common/mod.rs
+++ b/crates/fernknot-engine/tests/common/mod.rs
@@ -50,6 +50,7 @@
         by_work: false,
         zone: None,
         marks_repeats: true,
+        refusals_cost: false,
     }
 }
 
--- a/crates/fernknot-sluice/src/gateway.rs
+++ b/crates/fernknot-sluice/src/gateway.rs
@@ -7,7 +7,7 @@
 use crate::routes::{Names, Pinned};
 use fernknot::interface::*;
 use fernknot::state::Mwc;
-use fernknot_conduit::{Share, Shuffles};
+use fernknot_conduit::{Question, Share, Shuffles};
 use fernknot_config::{Limits, SocketFacts};
 use fernknot_duties::{Gateway as Me, LifeId, doubt};
 use fernknot_engine::{AskerId, Engine, Order, Verdict};
@@ -350,6 +350,20 @@
                     self.mains.pass_whole(&mut self.dock);
                 }
             }
+            News::Asked { berth, question } => {
+                let text = match question {
+                    Question::Counters => self.count(),
+                    Question::Nodes => {
+                        let line = |fact: &NodeFact| {
+                            let NodeFact { id, service, addr, zone, state, .. } = fact;
+                            format!("{id} {service} {addr} {zone} {state:?}\n")
+                        };
+                        self.pool.facts().map(line).collect()
+                    }
+                    other => self.mains.text(other),
+                };
+                self.mains.answer(&mut self.dock, berth, text);
+            }
             News::Well => {
                 self.pool.teller_well(now);
                 let sharers = self.mains.shared_by(now);
@@ -413,6 +427,8 @@
                     zone: Some(self.zone(&self.facts.zone.clone())),
                     // What a client waits for tells when it first asked, but a late answer still earns something.
                     marks_repeats: true,
+                    // One that is refused twice costs a third of its worth, and a late answer earns as much.
+                    refusals_cost: true,
                 };
                 self.engine = Some(Engine::new(self.seed, site, &[], 0, now));
             }
--- a/crates/fernknot-sluice/src/news.rs
+++ b/crates/fernknot-sluice/src/news.rs
@@ -2,7 +2,7 @@
 //! listen to is what `fernknot-homes` says; here are the connections and the words.
 
 use fernknot::interface::Nanos;
-use fernknot_conduit::{Inward, Outward, Registrar as Told, Share, pull, push};
+use fernknot_conduit::{Inward, Outward, Question, Registrar as Told, Share, pull, push};
 use fernknot_duties::{Cut, Fence, Gateway, Holder, HolderBounds, LifeId};
 use fernknot_homes::{Homes, HomesBounds, Order, Pulse, Registrar, Topic, What};
 use fernknot_intake::Plan;
@@ -45,6 +45,11 @@
     },
     /// A teller in touch with the rest spoke.
     Well,
+    /// An operator wants to know; `answer` takes the words.
+    Asked {
+        berth: Berth,
+        question: Question,
+    },
 }
 
 struct Stream {
@@ -256,7 +261,7 @@
                 true => pull::<Outward>(input, MOST)
                     .map(|word| word.map(|word| self.heard(now, berth, word, news))),
                 false => pull::<Inward>(input, MOST)
-                    .map(|word| word.map(|word| self.asked(now, berth, word, dock, held))),
+                    .map(|word| word.map(|word| self.asked(now, berth, word, dock, held, news))),
             };
             match taken {
                 Ok(Some(())) => {}
@@ -301,7 +306,15 @@
         }
     }
 
-    fn asked(&mut self, now: Nanos, berth: Berth, word: Inward, dock: &mut Dock, held: &Held) {
+    fn asked(
+        &mut self,
+        now: Nanos,
+        berth: Berth,
+        word: Inward,
+        dock: &mut Dock,
+        held: &Held,
+        news: &mut Vec<News>,
+    ) {
         match word {
             Inward::Attach { who, share, order, .. } => {
                 let topics = match &share {
@@ -345,8 +358,41 @@
                     self.homes.subscribed(below.who.addr, []);
                 }
             }
-            Inward::Peer(_) | Inward::Ask(_) => {}
+            Inward::Ask(question) => news.push(News::Asked { berth, question }),
+            Inward::Peer(_) => {}
+        }
+    }
+
+    /// What this gateway knows of homes and duties, for a person to read.
+    pub fn text(&self, question: Question) -> String {
+        let mut text = String::new();
+        match question {
+            Question::Homes => {
+                for stream in self.streams.values() {
+                    text += &format!("listens to {:?} {}\n", stream.what, stream.addr);
+                }
+                for below in self.below.values() {
+                    text += &format!("tells {} and {} below it\n", below.who.addr, below.further.len());
+                }
+            }
+            Question::Duties => {
+                text += &format!("cut {}.{}\n", self.cut.fence.view(), self.cut.fence.count());
+                for gateway in &self.cut.live {
+                    text += &format!("lives {} {} {:x}\n", gateway.addr, gateway.zone, gateway.life.0);
+                }
+            }
+            _ => {
+                for (addr, zone) in &self.known {
+                    text += &format!("registrar {addr} {zone}\n");
+                }
+            }
         }
+        text
+    }
+
+    /// Answers an operator's question.
+    pub fn answer(&self, dock: &mut Dock, berth: Berth, text: String) {
+        self.tell(dock, berth, &Outward::Answer(text));
     }
 
     fn pulse_word(&self, pulse: Pulse) -> Outward {
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -68,7 +68,8 @@
         let by_work = self.by_work.then_some(1.0);
         let yields = |case: &UseCase| by_work.or(case.work.get()).map_or(0.0, |work| case.earnings / work);
         let best = self.use_cases.iter().map(yields).fold(f64::MIN_POSITIVE, f64::max);
-        let fill = FILL_LEAST + (FILL_BEST - FILL_LEAST) * yields(case) / best;
+        let shed = FILL_LEAST + (FILL_BEST - FILL_LEAST) * yields(case) / best;
+        let fill = if self.refusals_cost { 1.0 } else { shed };
         // What is dismissed draws nothing from its customer's share. Guards repeats from passing for a flood.
         let share = self.shares.get_mut(customer.0).filter(|_| !second);
         // A client that is short of time by its own doing is refused only what is past hope.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -85,6 +85,7 @@
             by_work: facts.by_work,
             zone: facts.zone,
             unmarked: !facts.marks_repeats,
+            refusals_cost: facts.refusals_cost,
             chance: Mwc::new(seed),
             groups: Groups::new(&bins),
             bins,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -137,6 +137,8 @@
     pub zone: Option<ZoneId>,
     /// Clients say when they ask again.
     pub marks_repeats: bool,
+    /// A refusal costs worth of its own, so that only what is past hope is refused.
+    pub refusals_cost: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -672,6 +672,7 @@
     pub(crate) use_cases: Vec<UseCase>,
     pub(crate) by_work: bool,
     pub(crate) unmarked: bool,
+    pub(crate) refusals_cost: bool,
     pub(crate) zone: Option<ZoneId>,
     /// Among how many routers limits are shared.
     pub(crate) sharers: f64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,6 +57,7 @@
         by_work: false,
         zone: None,
         marks_repeats: true,
+        refusals_cost: false,
     }
 }
 
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -283,3 +283,17 @@
     host.pull();
     assert_eq!(host.finals(id).len(), refused);
 }
+
+#[test_case(true, 0; "it is served while it can be in time")]
+#[test_case(false, 1; "it is refused where customers come back at will")]
+fn given_a_shard_that_takes_most_of_the_aim_when_a_refusal_costs_then(cost: bool, refused: usize) {
+    let mut host = host(SiteFacts { refusals_cost: cost, ..routes() }, 1, 2);
+    let busy = host.take(PLAIN, &[1.0]);
+    host.pass(0.4 * GOAL);
+    host.end(busy, 0, 0, Outcome::Answered, 0.4 * GOAL);
+    // Two in hand at each node: the next part takes a share of the aim past which the module sheds.
+    let held: Vec<_> = (0..2).map(|_| host.take(PLAIN, &[1.0])).collect();
+    assert!(held.iter().all(|id| host.finals(*id).is_empty()));
+    let id = host.take(PLAIN, &[1.0]);
+    assert_eq!(host.finals(id).len(), refused);
+}
