--- a/crates/fernknot-sluice/src/routes.rs
+++ b/crates/fernknot-sluice/src/routes.rs
@@ -34,14 +34,26 @@
     next_shard: u32,
     /// Of shards that one route gathers from, whose work is alike, the first.
     groups: HashMap<ShardId, u32>,
-    /// By host, prefix and what answers: what was measured of a route holds while these do.
-    cases: HashMap<(String, String), UseCaseId>,
+    /// What was measured of a route holds while its key does.
+    cases: HashMap<Key, UseCaseId>,
     free: Vec<UseCaseId>,
     /// Those of routes that are gone, until nothing of them can be in hand any more.
     leaving: BTreeMap<(Nanos, UseCaseId), ()>,
     next_case: usize,
 }
 
+/// Host, prefix, class and quorum. Guards what is open by an earlier version: the module judges it by the facts of
+/// its number, so that other needs or effects have another number.
+type Key = (String, String, Class, u64);
+
+fn key_of(route: &Route) -> Key {
+    let quorum = match &route.to {
+        Target::Fanout { quorum, .. } => quorum.to_bits(),
+        _ => 1.0f64.to_bits(),
+    };
+    (route.authority.clone(), route.path_prefix.clone(), route.traffic_class, quorum)
+}
+
 /// What a route asks of the module.
 pub fn facts_of(route: &Route) -> UseCaseFacts {
     let floor = match &route.to {
@@ -104,7 +116,7 @@
         let mut facts = Vec::new();
         let mut use_cases = Vec::with_capacity(plan.routes.len());
         for route in &plan.routes {
-            let key = (route.authority.clone(), route.path_prefix.clone());
+            let key = key_of(route);
             let case = self.cases.get(&key).copied().or_else(|| self.free.pop()).unwrap_or_else(|| {
                 self.next_case += 1;
                 UseCaseId(self.next_case - 1)
--- a/crates/fernknot-sluice/tests/answers.rs
+++ b/crates/fernknot-sluice/tests/answers.rs
@@ -174,6 +174,18 @@
     assert!(!lines.rest(berth, Nanos(10)));
 }
 
+#[test_case(plan(shards(4, 0.5)), false; "another quorum")]
+#[test_case(plan(shards(3, 0.75)), true; "another cut of the index")]
+fn given_a_version_with_then_the_number_stays_only_if_what_is_open_may_be_judged_by_it(
+    next: Plan,
+    stays: bool,
+) {
+    let mut names = Names::default();
+    let (first, _, _) = names.pin(Nanos(0), 1, plan(shards(4, 0.75)), Nanos(100));
+    let (second, _, _) = names.pin(Nanos(10), 2, next, Nanos(100));
+    assert_eq!(first.use_case(0) == second.use_case(0), stays);
+}
+
 #[test]
 fn given_a_version_that_drops_a_route_then_its_number_is_free_only_once_nothing_of_it_is_in_hand() {
     let mut names = Names::default();
