Let registrars that return together meet sooner, and wait shorter for a dead one

Change: a try has an end that a Hello brings forward; Views::reached; waits begin at one pulse and double.

--- a/crates/fernknot-headworks/src/peers.rs
+++ b/crates/fernknot-headworks/src/peers.rs
@@ -15,8 +15,10 @@
         at: Nanos,
         pause: Nanos,
     },
+    /// Given up at `until` if nothing answers.
     Begun {
         at: Nanos,
+        until: Nanos,
     },
     Up,
 }
@@ -85,7 +87,7 @@
                 Link::Down { at, .. } => *at = now,
                 // Begun while it had no power: its first packet is lost and is sent again after a second. Guards
                 // the return of all at once, when each begins before the others are there.
-                Link::Begun { at } if now - *at > self.first_pause => *at = Nanos(0),
+                Link::Begun { at, until } => *until = (*until).min((*at + self.first_pause).max(now)),
                 _ => {}
             }
         }
@@ -105,7 +107,7 @@
                 Link::Up => first,
                 // What never answered is tried ever less.
                 Link::Begun { .. } if peer.heard.is_some_and(|at| now - at < last) => first.times(2.0),
-                Link::Begun { at } => (now - at).times(2.0).max(first.times(4.0)).min(last),
+                Link::Begun { at, .. } => (now - at).times(2.0).max(first.times(4.0)).min(last),
             };
             peer.link = Link::Down { at: now + pause, pause };
         }
@@ -116,11 +118,11 @@
         for (addr, peer) in &mut self.known {
             match peer.link {
                 Link::Down { at, .. } if at <= now => {
-                    peer.link = Link::Begun { at: now };
+                    peer.link = Link::Begun { at: now, until: now + self.connect_within };
                     return Some(Do::Connect(*addr));
                 }
                 // A machine without power, or behind a cut, gives no answer at all.
-                Link::Begun { at } if now - at >= self.connect_within => {
+                Link::Begun { until, .. } if now >= until => {
                     let lately = peer.heard.is_some_and(|heard| now - heard < self.connect_within);
                     let wait = if lately { Nanos(0) } else { self.first_pause };
                     peer.link = Link::Down { at: now + wait, pause: self.first_pause };
@@ -135,7 +137,7 @@
     pub fn due(&self) -> Option<Nanos> {
         let times = self.known.values().filter_map(|peer| match peer.link {
             Link::Down { at, .. } => Some(at),
-            Link::Begun { at } => Some(at + self.connect_within),
+            Link::Begun { until, .. } => Some(until),
             Link::Up => None,
         });
         times.min()
--- a/crates/fernknot-headworks/src/registrar.rs
+++ b/crates/fernknot-headworks/src/registrar.rs
@@ -365,6 +365,9 @@
         self.say(to, PeerWord::Know(known));
         self.tell_whole(to);
         // What is said between the members was dropped meanwhile.
+        if let Some(views) = &mut self.views {
+            views.reached(now);
+        }
         self.views_due = now;
     }
 
--- a/crates/fernknot-headworks/tests/changes.rs
+++ b/crates/fernknot-headworks/tests/changes.rs
@@ -72,6 +72,21 @@
     }
 }
 
+#[test]
+fn given_power_that_comes_back_to_one_after_the_other_when_the_last_is_up_then_all_agree_at_once() {
+    let mut fleet = Fleet::three();
+    assert_eq!(fleet.replace(1, 0, &plan(3, "one")), 200);
+    (1..=3).for_each(|at| fleet.power_off(at));
+    fleet.restart_clock();
+    for at in 1..=3 {
+        fleet.start(at, false);
+        fleet.run(ms(120));
+    }
+    for at in 1..=3 {
+        assert_eq!(fleet.read(at), (200, plan(3, "one")), "within 120 ms of the last start");
+    }
+}
+
 #[test_case("{", 0, 400; "not read whole")]
 #[test_case("[]", 0, 400; "no object")]
 #[test_case(&plan(7, "a").replace(r#""backend":"books""#, r#""backend":"films""#), 0, 400; "an unknown service")]
--- a/crates/fernknot-headworks/tests/common/mod.rs
+++ b/crates/fernknot-headworks/tests/common/mod.rs
@@ -56,6 +56,8 @@
     count: u64,
     /// Pairs between which nothing goes.
     cut: BTreeSet<(usize, usize)>,
+    /// Machines without power: what comes there is lost without an answer.
+    dark: BTreeSet<usize>,
     seeds: Vec<SocketAddrV4>,
     losses: usize,
     /// Answers by caller.
@@ -80,6 +82,7 @@
             news: BTreeMap::new(),
             count: 0,
             cut: BTreeSet::new(),
+            dark: BTreeSet::new(),
             seeds: (1..=seeds).map(addr).collect(),
             losses,
             answers: BTreeMap::new(),
@@ -93,6 +96,7 @@
 
     /// Starts a registrar on a machine, with whatever is on its disk.
     pub fn start(&mut self, at: usize, bootstrap: bool) {
+        self.dark.remove(&at);
         self.count += 1;
         let life = self.count;
         let facts = RegistrarFacts {
@@ -135,6 +139,18 @@
         others.into_iter().for_each(|other| self.later(WAY, News::Closed(other, at)));
     }
 
+    /// Its machine has no power until it is started.
+    pub fn power_off(&mut self, at: usize) {
+        self.kill(at);
+        self.dark.insert(at);
+    }
+
+    /// As a process counts from its own start, so do all that start from now on.
+    pub fn restart_clock(&mut self) {
+        self.news.clear();
+        self.now = Nanos(1);
+    }
+
     /// The machine is gone for good, disk and all.
     pub fn remove(&mut self, at: usize) {
         self.kill(at);
@@ -324,6 +340,7 @@
                         self.heard.entry(ear.0).or_default().push_back(word.clone());
                     }
                 }
+                Order::Connect { to } if self.dark.contains(&number(&to)) => {}
                 Order::Connect { to } => self.later(WAY + WAY, News::Opened(at, number(&to))),
                 Order::GiveUp { .. } | Order::Note { .. } => {}
                 Order::Store { ticket, saved } => {
--- a/crates/fernknot-homes/src/plan.rs
+++ b/crates/fernknot-homes/src/plan.rs
@@ -59,6 +59,7 @@
         let is_fresh = |addr| link(addr).is_some_and(|link: &Link| link.is_fresh(now, self.stale));
         if let Some(trial) = self.trial {
             let tried = link(Some(trial));
+            let wait = self.pauses.wait(trial, self.pulse_every);
             if is_fresh(Some(trial)) {
                 (self.current, self.trial) = (Some(trial), None);
             } else if tried.is_some_and(|link| link.heard)
@@ -67,7 +68,7 @@
                 // No lease, but the only one that speaks: better than none while the search goes on.
                 self.pauses.failed(now, trial);
                 (self.current, self.trial) = (Some(trial), None);
-            } else if tried.is_some_and(|link| link.heard || now - link.since > self.stale) {
+            } else if tried.is_some_and(|link| link.heard || now - link.since >= wait) {
                 self.pauses.failed(now, trial);
                 self.trial = None;
             }
--- a/crates/fernknot-homes/src/registrars.rs
+++ b/crates/fernknot-homes/src/registrars.rs
@@ -48,6 +48,13 @@
         self.by_addr.remove(&addr);
     }
 
+    /// How long one that has not spoken yet is waited for: short at first, `stale` after a few failures. Guards a start
+    /// while the registrar's machine has no power, when the first packet is lost and comes again after a second.
+    pub fn wait(&self, addr: SocketAddrV4, first: Nanos) -> Nanos {
+        let fails = self.by_addr.get(&addr).map_or(0, |(fails, _)| *fails);
+        first.times(2f64.powi(fails.min(MOST_DOUBLINGS) as i32)).min(self.stale)
+    }
+
     pub fn is_over(&self, now: Nanos, addr: SocketAddrV4) -> bool {
         self.by_addr.get(&addr).is_none_or(|(_, until)| now >= *until)
     }
--- a/crates/fernknot-homes/tests/homes.rs
+++ b/crates/fernknot-homes/tests/homes.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{APPLY, World, cut, gateway_addr, millis, registrar_addr, topics, zone};
+use common::{APPLY, World, ZONES, cut, gateway_addr, millis, registrar_addr, topics, zone};
 use fernknot_duties::LifeId;
 use fernknot_homes::{Homes, HomesBounds, Order, Pulse, Topic, What};
 use proptest::prelude::*;
@@ -141,6 +141,17 @@
     assert!(took.is_some_and(|ms| ms <= 9_000), "{took:?}");
 }
 
+#[test]
+fn given_a_registrar_without_power_when_a_gateway_starts_there_then_another_is_asked_before_it_is_stale() {
+    let mut world = World::new(0..3);
+    let home = registrar_addr((0..3).position(|at| ZONES[at] == zone(6)).unwrap() as u8);
+    world.tellers.get_mut(&home).unwrap().silent = true;
+    world.start(6);
+    world.run(APPLY.0 / 1_000_000 / 10);
+    let asked: Vec<_> = world.members[&6].links.keys().map(|(_, addr)| *addr).collect();
+    assert!(!asked.is_empty() && !asked.contains(&home), "{asked:?}");
+}
+
 #[test]
 fn given_a_gateway_that_was_frozen_when_it_wakes_then_it_does_not_take_its_tellers_for_stale() {
     let mut world = World::new(0..12);
--- a/crates/fernknot-views/src/views.rs
+++ b/crates/fernknot-views/src/views.rs
@@ -253,6 +253,14 @@
         self.settle();
     }
 
+    /// There is a way to a registrar that there was not before: what was said to it until now is lost, so the next
+    /// pulse goes out soon. Guards the return of all at once, when a pulse's time is most of the wait.
+    pub fn reached(&mut self, now: Nanos) {
+        self.listen(now);
+        self.pulse_soon = true;
+        self.settle();
+    }
+
     /// The next state after `base`. Only the sequencer takes it; `base` must be the last number
     /// given out, proposals in hand counted.
     pub fn propose(&mut self, now: Nanos, proposal: u64, base: OrderNo, state: Vec<u8>) {
