Split the gateway into a brain without sockets or clock, and its host

Change: `fernknot_penstock::Ports` says what may be done to connections; `Dock` has it. Sockets, clock, signals and the settings file stand in `host.rs`, the clients' side in `gateway/downstream.rs`, the nodes' side in `gateway/upstream.rs`. Code was moved, not rewritten. Measured: `cargo test -p fernknot-sluice -p fernknot-basin` passes (52 tests; those of real processes on loopback among them).

--- a/crates/fernknot-penstock/src/lib.rs
+++ b/crates/fernknot-penstock/src/lib.rs
@@ -5,8 +5,10 @@
 //! given to another connection, so that news of one that has gone cannot be taken for another's.
 
 mod dock;
+mod ports;
 mod signals;
 
 pub use dock::{Berth, Dock, DockFacts, Event, NetError};
 pub use fernknot_protocol::buffer::Buffer;
+pub use ports::Ports;
 pub use signals::Signals;
--- /dev/null
+++ b/crates/fernknot-penstock/src/ports.rs
@@ -0,0 +1,77 @@
+//! What a brain may do to connections, whoever holds them: the [`Dock`] of a process, or a simulation.
+
+use crate::{Berth, Dock, NetError};
+use fernknot_protocol::buffer::Buffer;
+use std::net::SocketAddrV4;
+
+/// Connections by their [`Berth`], which is never given to another. What happens to them is told by
+/// [`Event`](crate::Event)s; of what the caller itself closes nothing is told but what had happened already.
+pub trait Ports {
+    /// Begins a connection; `Opened` or `Gone` follows. What is written before goes out once it is up.
+    ///
+    /// # Errors
+    /// Where none can be begun: no descriptors, no route, too many connections.
+    fn connect(&mut self, peer: SocketAddrV4) -> Result<Berth, NetError>;
+
+    /// Whether the connection is there and up: until it is, nothing that was written has gone out.
+    fn is_open(&self, berth: Berth) -> bool;
+
+    /// What came and is not yet consumed.
+    fn input(&mut self, berth: Berth) -> Option<&mut Buffer>;
+
+    /// Where to write; none once the connection closes.
+    fn output(&mut self, berth: Berth) -> Option<&mut Buffer>;
+
+    /// Bytes that wait to be written.
+    fn waiting(&self, berth: Berth) -> usize;
+
+    /// Closes at once. What waits to be written is dropped.
+    fn close(&mut self, berth: Berth);
+
+    /// Closes once all is written.
+    fn close_after(&mut self, berth: Berth);
+
+    /// Takes no further connections at this listening socket.
+    fn stop_listening(&mut self, berth: Berth);
+
+    /// Sends a datagram, which may be lost.
+    fn send_datagram(&mut self, to: SocketAddrV4, bytes: &[u8]);
+}
+
+impl Ports for Dock {
+    fn connect(&mut self, peer: SocketAddrV4) -> Result<Berth, NetError> {
+        Dock::connect(self, peer)
+    }
+
+    fn is_open(&self, berth: Berth) -> bool {
+        Dock::is_open(self, berth)
+    }
+
+    fn input(&mut self, berth: Berth) -> Option<&mut Buffer> {
+        Dock::input(self, berth)
+    }
+
+    fn output(&mut self, berth: Berth) -> Option<&mut Buffer> {
+        Dock::output(self, berth)
+    }
+
+    fn waiting(&self, berth: Berth) -> usize {
+        Dock::waiting(self, berth)
+    }
+
+    fn close(&mut self, berth: Berth) {
+        Dock::close(self, berth);
+    }
+
+    fn close_after(&mut self, berth: Berth) {
+        Dock::close_after(self, berth);
+    }
+
+    fn stop_listening(&mut self, berth: Berth) {
+        Dock::stop_listening(self, berth);
+    }
+
+    fn send_datagram(&mut self, to: SocketAddrV4, bytes: &[u8]) {
+        Dock::send_datagram(self, to, bytes);
+    }
+}
--- /dev/null
+++ b/crates/fernknot-sluice/src/gateway/downstream.rs
@@ -0,0 +1,192 @@
+//! The clients' side of a gateway: requests as they come, and the answers to them.
+
+use super::{Gateway, TICK_MS};
+use crate::asks::{Ask, Final, wire};
+use crate::clients::Door;
+use fernknot::interface::*;
+use fernknot_engine::{AskerId, Verdict};
+use fernknot_intake::Target;
+use fernknot_penstock::{Berth, Ports};
+use fernknot_protocol::http::{Answer, GO_ON, Request};
+use fernknot_protocol::multiget::{Asked, AskedPart};
+
+impl Gateway {
+    pub(super) fn client_gone<P: Ports>(&mut self, now: Nanos, berth: Berth, ports: &mut P) {
+        ports.close(berth);
+        let Some(client) = self.clients.held.remove(&berth) else { return };
+        let Some(ask) = client.asker.and_then(|asker| self.asks.remove(&asker)) else { return };
+        self.by_multiget.remove(&ask.multiget);
+        if let Some(engine) = &mut self.engine {
+            engine.lapsed(now, ask.multiget);
+        }
+    }
+
+    pub(super) fn client_came<P: Ports>(&mut self, now: Nanos, berth: Berth, ports: &mut P) {
+        loop {
+            let Some(client) = self.clients.held.get_mut(&berth) else { return };
+            // One after the other: what comes behind a request waits for its answer.
+            if client.asker.is_some() {
+                return;
+            }
+            let Some(input) = ports.input(berth) else { return };
+            let request = match client.reader.read(input, &self.limits) {
+                Ok(Some(request)) => request,
+                Ok(None) => {
+                    let coming = client.reader.is_open() || !input.is_empty();
+                    if coming && !client.coming {
+                        client.since = now;
+                    }
+                    client.coming = coming;
+                    if client.reader.wants_leave()
+                        && let Some(out) = ports.output(berth)
+                    {
+                        out.push(GO_ON);
+                    }
+                    return;
+                }
+                Err(why) => {
+                    self.counters.bad += 1;
+                    log::debug!(target: "client", "{} {}", why.status, why.why);
+                    client.keep = false;
+                    self.say(now, berth, why.status, None, why.why.as_bytes(), ports);
+                    return;
+                }
+            };
+            (client.coming, client.since) = (false, now);
+            (client.keep, client.old) = (request.keep, request.old);
+            match client.door {
+                Door::Ready => self.own(now, berth, &request, ports),
+                Door::Front => self.request(now, berth, request, ports),
+            }
+        }
+    }
+
+    /// An answer of our own, at either door.
+    pub(super) fn say<P: Ports>(
+        &mut self,
+        now: Nanos,
+        berth: Berth,
+        status: u16,
+        wait: Option<f64>,
+        body: &[u8],
+        ports: &mut P,
+    ) {
+        let Some(client) = self.clients.held.get_mut(&berth) else { return };
+        let keep = client.keep && self.stopping.is_none();
+        let answer = Answer { status, kind: "text/plain", wait, keep, old: client.old };
+        (client.asker, client.since) = (None, now);
+        if let Some(out) = ports.output(berth) {
+            answer.write(out, body);
+        }
+        if !keep {
+            self.clients.held.remove(&berth);
+            ports.close_after(berth);
+        }
+    }
+
+    fn own<P: Ports>(&mut self, now: Nanos, berth: Berth, request: &Request, ports: &mut P) {
+        match (request.method.as_str(), request.path()) {
+            ("GET", "/-/readiness") if self.is_ready() => self.say(now, berth, 200, None, b"ready\n", ports),
+            ("GET", "/-/readiness") => self.say(now, berth, 503, None, b"not ready\n", ports),
+            ("GET", "/-/counters") => {
+                let text = self.count(now);
+                self.say(now, berth, 200, None, text.as_bytes(), ports);
+            }
+            _ => self.say(now, berth, 404, None, b"unknown\n", ports),
+        }
+    }
+    fn request<P: Ports>(&mut self, now: Nanos, berth: Berth, request: Request, ports: &mut P) {
+        self.counters.requests += 1;
+        let Some(pinned) = self.pinned.clone() else {
+            self.counters.unplanned += 1;
+            return self.say(now, berth, 503, Some(0.5), b"no configuration yet\n", ports);
+        };
+        let host = request.header("host").unwrap_or_default();
+        let Some(index) = pinned.find(host, request.path()) else {
+            self.counters.unrouted += 1;
+            return self.say(now, berth, 404, None, b"no route\n", ports);
+        };
+        let Some(attempt) = request.header(wire::ATTEMPT).filter(|id| !id.is_empty() && id.len() <= 256)
+        else {
+            self.counters.bad += 1;
+            return self.say(now, berth, 400, None, b"Attempt-Id is missing or unfit\n", ports);
+        };
+        let attempt = attempt.to_string();
+        let route = pinned.route(index);
+        let told = request.header(wire::DEADLINE).and_then(|text| text.trim().parse::<u64>().ok());
+        let wait = told.unwrap_or(u64::MAX).min(route.deadline_ms);
+        let wait = Nanos(wait.saturating_mul(1_000_000));
+        let services: Vec<&str> = match &route.to {
+            Target::Backend(service) => vec![service],
+            Target::Shares(shares) => vec![self.drawn(shares)],
+            Target::Fanout { shards, .. } => shards.iter().map(String::as_str).collect(),
+        };
+        let weight = 1.0 / services.len().max(1) as f64;
+        let part = |service: &str| AskedPart { shard: self.names.shard(service), weight, effort: None };
+        let parts: Vec<AskedPart> = services.into_iter().map(part).collect();
+        let asker = AskerId(self.next_asker);
+        self.next_asker += 1;
+        let asked = Asked {
+            id: attempt.clone(),
+            use_case: pinned.use_case(index),
+            key: None,
+            wait,
+            repeat: false,
+            text: String::new(),
+            parts,
+            second: None,
+        };
+        let client_end = now + wait;
+        let count = asked.parts.len();
+        let mut ask = Ask::new(berth, pinned, index, attempt, client_end, request, count);
+        let Some(engine) = &mut self.engine else { return };
+        ask.multiget = engine.take(now, asker, client_end, asked);
+        self.by_multiget.insert(ask.multiget, asker);
+        self.asks.insert(asker, ask);
+        if let Some(client) = self.clients.held.get_mut(&berth) {
+            client.asker = Some(asker);
+        }
+    }
+
+    /// The service that a request goes to where several share a route, by their weights.
+    fn drawn<'a>(&mut self, shares: &'a [(String, f64)]) -> &'a str {
+        let all: f64 = shares.iter().map(|(_, weight)| weight.max(0.0)).sum();
+        let mut at = self.chance.share() * all;
+        let drawn = shares.iter().find(|(_, weight)| {
+            at -= weight.max(0.0);
+            at < 0.0 && *weight > 0.0
+        });
+        drawn.or(shares.iter().rfind(|(_, weight)| *weight > 0.0)).map_or("", |(name, _)| name)
+    }
+
+    pub(super) fn answer<P: Ports>(&mut self, now: Nanos, asker: AskerId, verdict: Verdict, ports: &mut P) {
+        let Some(ask) = self.asks.remove(&asker) else { return };
+        self.by_multiget.remove(&ask.multiget);
+        let berth = ask.client;
+        let Some(client) = self.clients.held.get_mut(&berth) else { return };
+        let keep = client.keep && !client.old && self.stopping.is_none();
+        (client.asker, client.since) = (None, now);
+        let mut merged = Vec::new();
+        let late = if now + Nanos::from_millis(TICK_MS) >= ask.client_end { 504 } else { 502 };
+        let answer = match verdict {
+            Verdict::Settled { .. } => ask.settled(&mut merged).unwrap_or_else(|| ask.failed(502)),
+            Verdict::Dismissed { wait } => {
+                let wait = wait.unwrap_or(Nanos::from_millis(TICK_MS)).as_millis() / 1e3;
+                let headers =
+                    vec![(wire::ATTEMPT, ask.attempt.clone()), ("Retry-After", format!("{wait:.3}"))];
+                Final { status: 503, headers, body: b"" }
+            }
+            Verdict::BrokenOff => ask.failed(late),
+        };
+        let idle_s = (ask.pinned.plan.limits.idle_ms / 1000).saturating_sub(1);
+        if let Some(out) = ports.output(berth) {
+            answer.write(out, keep, idle_s);
+        }
+        if keep {
+            self.client_came(now, berth, ports);
+        } else {
+            self.clients.held.remove(&berth);
+            ports.close_after(berth);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernknot-sluice/src/gateway/upstream.rs
@@ -0,0 +1,205 @@
+//! The nodes' side of a gateway: which nodes there are, what is handed to them, and what comes back.
+
+use super::Gateway;
+use crate::asks::{Verdict, judge};
+use crate::lines::Heard;
+use fernknot::interface::*;
+use fernknot_penstock::{Berth, Ports};
+use fernknot_protocol::http::Response;
+use fernknot_registry::{NodeFact, NodeState};
+
+impl Gateway {
+    pub(super) fn relist_all<P: Ports>(&mut self, now: Nanos, ports: &mut P) {
+        let services: Vec<String> = self.pool.services().map(str::to_string).collect();
+        self.relist_of(now, services, ports);
+    }
+
+    pub(super) fn relist<P: Ports>(&mut self, now: Nanos, ports: &mut P) {
+        let services = self.pool.take_changed();
+        self.relist_of(now, services, ports);
+    }
+
+    /// Tells the module what differs in the lists of these services.
+    fn relist_of<P: Ports>(&mut self, now: Nanos, services: impl IntoIterator<Item = String>, ports: &mut P) {
+        if self.engine.is_none() {
+            return;
+        }
+        let mut entries = Vec::new();
+        let mut close = Vec::new();
+        let mut leaving = Vec::new();
+        for service in services {
+            let shard = self.names.shard(&service);
+            if let Some(engine) = &mut self.engine {
+                engine.group(PlaceId(shard.0), self.names.group(shard));
+            }
+            for fact in self.pool.of(&service) {
+                let health = match fact.state {
+                    NodeState::Ready => Health::Running,
+                    NodeState::Draining => Health::Draining,
+                    NodeState::Lost | NodeState::Gone => Health::Gone,
+                };
+                let known = self.nodes.get(&fact.id).copied();
+                if known.is_none() && health == Health::Gone || known.is_some_and(|(_, was)| was == health) {
+                    continue;
+                }
+                let node = known.map_or(NodeId(self.next_node), |(node, _)| node);
+                self.next_node = self.next_node.max(node.0 + 1);
+                if health == Health::Gone {
+                    close.extend(self.lines.forget(node));
+                    if fact.state == NodeState::Gone {
+                        self.nodes.remove(&fact.id);
+                    } else {
+                        self.nodes.insert(fact.id.clone(), (node, health));
+                    }
+                } else {
+                    self.nodes.insert(fact.id.clone(), (node, health));
+                    self.lines.know(node, &fact.id, fact.addr);
+                }
+                if health != Health::Running {
+                    leaving.push(node);
+                }
+                let zone = Some(self.zone(&fact.zone));
+                entries.push(NodeEntry { node, place: PlaceId(shard.0), zone, health, since: Nanos(0) });
+            }
+        }
+        close.into_iter().for_each(|berth| ports.close(berth));
+        // What has not gone out by now may not reach a node that leaves: the connection may take seconds.
+        for node in leaving {
+            let waiting = self.lines.carrying(Some(node), Nanos(u64::MAX));
+            self.give_up_unopened(now, waiting, ports);
+        }
+        if let Some(engine) = self.engine.as_mut().filter(|_| !entries.is_empty()) {
+            log::info!(target: "nodes", "{} changes, {} known", entries.len(), self.nodes.len());
+            engine.list(ListKind::Changes, &entries);
+        }
+    }
+
+    /// Gives up connections that are not up yet. Nothing of what they carry has been sent.
+    pub(super) fn give_up_unopened<P: Ports>(&mut self, now: Nanos, lines: Vec<Berth>, ports: &mut P) {
+        for berth in lines {
+            if !ports.is_open(berth) {
+                self.line_lost(now, berth, Outcome::Unreachable, ports);
+            }
+        }
+    }
+    pub(super) fn line_lost<P: Ports>(&mut self, now: Nanos, berth: Berth, outcome: Outcome, ports: &mut P) {
+        ports.close(berth);
+        if let Some((part, no)) = self.lines.lost(berth)
+            && let Some(engine) = &mut self.engine
+        {
+            engine.ended(now, part, no, outcome, LoadReport::default());
+        }
+    }
+
+    pub(super) fn line_came<P: Ports>(&mut self, now: Nanos, berth: Berth, ended: bool, ports: &mut P) {
+        let Some(input) = ports.input(berth) else { return };
+        match self.lines.read(berth, input, ended, &self.limits) {
+            Heard::Nothing => {}
+            Heard::Spoilt => {
+                self.counters.spoilt += 1;
+                self.line_lost(now, berth, Outcome::Broken, ports);
+            }
+            Heard::Answer { part, no, node, response } => {
+                self.answered(now, berth, (part, no), node, response, ports)
+            }
+        }
+    }
+
+    fn answered<P: Ports>(
+        &mut self,
+        now: Nanos,
+        berth: Berth,
+        (part, no): (PartId, HandOffNo),
+        node: NodeId,
+        response: Response,
+        ports: &mut P,
+    ) {
+        if let Some(told) = response.header("keep-alive").and_then(timeout) {
+            // Closed a little before the node would, so that nothing is sent into a closing line.
+            self.line_idle = Nanos::from_millis(told as f64 * 1e3).times(0.75);
+        }
+        let ask = self.by_multiget.get(&part.of).and_then(|asker| self.asks.get_mut(asker));
+        let verdict = match &ask {
+            Some(ask) => judge(&response, &ask.attempt),
+            None => Verdict::Failed,
+        };
+        if verdict == Verdict::Stray {
+            self.counters.strays += 1;
+            self.lines.lost(berth);
+            ports.close(berth);
+        } else if !self.lines.rest(berth, now + self.line_idle) {
+            ports.close(berth);
+        }
+        let Some(engine) = &mut self.engine else { return };
+        let report = LoadReport::default();
+        match verdict {
+            Verdict::Part => {
+                if let Some(ask) = ask {
+                    ask.keep(part.index, response);
+                }
+                engine.answered(now, part, no, String::new(), report);
+            }
+            Verdict::NotRun { stranger } => {
+                engine.ended(now, part, no, Outcome::TurnedAway, report);
+                if stranger {
+                    self.counters.strangers += 1;
+                    self.stranger(now, node, ports);
+                }
+            }
+            Verdict::Failed => {
+                if let Some(ask) = ask {
+                    ask.keep_failure(response);
+                }
+                engine.ended(now, part, no, Outcome::Error, report);
+            }
+            Verdict::Stray => engine.ended(now, part, no, Outcome::Broken, report),
+        }
+    }
+
+    /// Another life answers at this address: the one that was meant is gone.
+    fn stranger<P: Ports>(&mut self, now: Nanos, node: NodeId, ports: &mut P) {
+        let Some(life) = self.lines.place(node).map(|place| place.life.clone()) else { return };
+        if let Some(fact) = self.pool.get(&life).cloned() {
+            let gone = NodeFact { state: NodeState::Lost, ..fact };
+            self.pool.take(now, &[gone]);
+            self.relist(now, ports);
+        }
+    }
+
+    pub(super) fn send<P: Ports>(
+        &mut self,
+        now: Nanos,
+        part: PartId,
+        no: HandOffNo,
+        node: NodeId,
+        ports: &mut P,
+    ) -> Result<(), Outcome> {
+        let asker = self.by_multiget.get(&part.of).ok_or(Outcome::NeverSent)?;
+        let ask = self.asks.get(asker).ok_or(Outcome::NeverSent)?;
+        let (idle, past) = self.lines.idle(now, node);
+        past.into_iter().for_each(|berth| ports.close(berth));
+        let place = self.lines.place(node).ok_or(Outcome::NeverSent)?;
+        let berth = match idle.filter(|berth| ports.is_open(*berth)) {
+            Some(berth) => {
+                self.lines.carry(berth, part, no);
+                berth
+            }
+            None => {
+                let berth = ports.connect(place.addr).map_err(|_| Outcome::Unreachable)?;
+                self.counters.lines_opened += 1;
+                self.lines.add(now, berth, node, part, no);
+                berth
+            }
+        };
+        let place = self.lines.place(node).ok_or(Outcome::NeverSent)?;
+        let out = ports.output(berth).ok_or(Outcome::NeverSent)?;
+        ask.send(out, &place.life, ask.client_end - now);
+        Ok(())
+    }
+}
+
+/// The seconds that a `Keep-Alive` line tells.
+fn timeout(value: &str) -> Option<u64> {
+    let told = value.split(',').find_map(|word| word.trim().strip_prefix("timeout="))?;
+    told.trim().parse().ok()
+}
--- a/crates/fernknot-sluice/src/main.rs
+++ b/crates/fernknot-sluice/src/main.rs
@@ -64,9 +64,9 @@
     // A life's number and its chance: no two processes start at one place at one time.
     let time = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_nanos() as u64);
     let seed = time ^ (u64::from(u32::from(facts.ip)) << 32) ^ u64::from(std::process::id());
-    match fernknot_sluice::Gateway::new(facts, seed) {
-        Ok(mut gateway) => {
-            gateway.run();
+    match fernknot_sluice::host::Host::new(facts, path.into(), seed) {
+        Ok(mut host) => {
+            host.run();
             ExitCode::SUCCESS
         }
         Err(why) => {
--- a/crates/fernknot-sluice/src/news.rs
+++ b/crates/fernknot-sluice/src/news.rs
@@ -6,7 +6,7 @@
 use fernknot_duties::{Cut, Fence, Gateway, Holder, HolderBounds, LifeId};
 use fernknot_homes::{Homes, HomesBounds, Order, Pulse, Registrar, Topic, What};
 use fernknot_intake::Plan;
-use fernknot_penstock::{Berth, Dock};
+use fernknot_penstock::{Berth, Ports};
 use fernknot_registry::{NodeFact, Pool};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -159,21 +159,21 @@
     }
 
     /// Opens, drops and serves streams as the homes' orders say.
-    pub fn tend(&mut self, now: Nanos, dock: &mut Dock, held: &Held) {
+    pub fn tend<P: Ports>(&mut self, now: Nanos, ports: &mut P, held: &Held) {
         while let Some(order) = self.homes.next(now) {
             match order {
-                Order::Attach { addr, what, topics } => self.attach(now, dock, held, (what, addr), &topics),
+                Order::Attach { addr, what, topics } => self.attach(now, ports, held, (what, addr), &topics),
                 Order::Detach { addr, what } => {
                     if let Some(berth) = self.by_addr.remove(&(what, addr)) {
                         self.streams.remove(&berth);
-                        dock.close(berth);
+                        ports.close(berth);
                     }
                 }
                 Order::Relay { to, pulse } => {
                     let word = self.pulse_word(pulse);
                     let listeners = self.below.iter().filter(|(_, below)| to.contains(&below.who.addr));
                     let listeners: Vec<Berth> = listeners.map(|(berth, _)| *berth).collect();
-                    listeners.into_iter().for_each(|berth| self.tell(dock, berth, &word));
+                    listeners.into_iter().for_each(|berth| self.tell(ports, berth, &word));
                 }
             }
         }
@@ -183,7 +183,7 @@
             let late = self.alive_every.times(LATE);
             let lately = |below: &&Below| now - below.alive <= late;
             for (berth, stream) in &self.streams {
-                let Some(out) = dock.output(*berth) else { continue };
+                let Some(out) = ports.output(*berth) else { continue };
                 push(out, &Inward::Alive { ready: held.ready });
                 // Homes of several wards listen to each other in circles: on all streams, what is told of the dead
                 // would go round for ever, and grow. The streams of the configuration alone are a tree.
@@ -200,10 +200,10 @@
         }
     }
 
-    fn attach(
+    fn attach<P: Ports>(
         &mut self,
         now: Nanos,
-        dock: &mut Dock,
+        ports: &mut P,
         held: &Held,
         key: (What, SocketAddrV4),
         topics: &[Topic],
@@ -223,7 +223,7 @@
                 return;
             }
             Some(berth) => *berth,
-            None => match dock.connect(key.1) {
+            None => match ports.connect(key.1) {
                 Ok(berth) => berth,
                 Err(why) => {
                     log::warn!(target: "news", "{why}");
@@ -233,7 +233,7 @@
         };
         let order = held.plan.map_or(0, |(order, _)| order);
         let attach = Inward::Attach { who: self.me.clone(), ready: held.ready, share: share.clone(), order };
-        if let Some(out) = dock.output(berth) {
+        if let Some(out) = ports.output(berth) {
             push(out, &attach);
         }
         self.by_addr.insert(key, berth);
@@ -254,21 +254,28 @@
     }
 
     /// Reads what came; what the host is to take is added to `news`.
-    pub fn came(&mut self, now: Nanos, berth: Berth, dock: &mut Dock, held: &Held, news: &mut Vec<News>) {
+    pub fn came<P: Ports>(
+        &mut self,
+        now: Nanos,
+        berth: Berth,
+        ports: &mut P,
+        held: &Held,
+        news: &mut Vec<News>,
+    ) {
         loop {
-            let Some(input) = dock.input(berth) else { return };
+            let Some(input) = ports.input(berth) else { return };
             let taken = match self.streams.contains_key(&berth) {
                 true => pull::<Outward>(input, MOST)
                     .map(|word| word.map(|word| self.heard(now, berth, word, news))),
                 false => pull::<Inward>(input, MOST)
-                    .map(|word| word.map(|word| self.asked(now, berth, word, dock, held, news))),
+                    .map(|word| word.map(|word| self.asked(now, berth, word, ports, held, news))),
             };
             match taken {
                 Ok(Some(())) => {}
                 Ok(None) => return,
                 Err(why) => {
                     log::warn!(target: "news", "What came is refused: {why}.");
-                    dock.close(berth);
+                    ports.close(berth);
                     return self.lost(now, berth);
                 }
             }
@@ -306,12 +313,12 @@
         }
     }
 
-    fn asked(
+    fn asked<P: Ports>(
         &mut self,
         now: Nanos,
         berth: Berth,
         word: Inward,
-        dock: &mut Dock,
+        ports: &mut P,
         held: &Held,
         news: &mut Vec<News>,
     ) {
@@ -326,21 +333,21 @@
                 let topics = topics.into_iter().chain([Topic::Configuration]);
                 self.strangers.remove(&berth);
                 if !self.homes.subscribed(who.addr, topics) {
-                    dock.close(berth);
+                    ports.close(berth);
                     return self.lost(now, berth);
                 }
                 let facts: Vec<NodeFact> =
                     held.pool.facts().filter(|fact| is_for(&share, fact, &self.services)).cloned().collect();
                 self.below.insert(berth, Below { who, share, alive: now, further: Vec::new() });
                 if self.cut.fence.0 > 0 {
-                    self.tell(dock, berth, &Outward::Cut(self.cut.clone()));
+                    self.tell(ports, berth, &Outward::Cut(self.cut.clone()));
                 }
                 if let Some((own, plan)) = held.plan.filter(|(own, _)| *own > order) {
-                    self.tell(dock, berth, &Outward::Plan { order: own, plan: plan.clone() });
+                    self.tell(ports, berth, &Outward::Plan { order: own, plan: plan.clone() });
                 }
-                self.tell(dock, berth, &Outward::Nodes(facts));
+                self.tell(ports, berth, &Outward::Nodes(facts));
                 if held.whole {
-                    self.tell(dock, berth, &Outward::Whole);
+                    self.tell(ports, berth, &Outward::Whole);
                 }
             }
             Inward::Alive { .. } => {
@@ -391,8 +398,8 @@
     }
 
     /// Answers an operator's question.
-    pub fn answer(&self, dock: &mut Dock, berth: Berth, text: String) {
-        self.tell(dock, berth, &Outward::Answer(text));
+    pub fn answer<P: Ports>(&self, ports: &mut P, berth: Berth, text: String) {
+        self.tell(ports, berth, &Outward::Answer(text));
     }
 
     fn pulse_word(&self, pulse: Pulse) -> Outward {
@@ -402,25 +409,25 @@
         Outward::Pulse { teller: self.teller, order, lease, hops, fence: fence.0, registrars }
     }
 
-    fn tell(&self, dock: &mut Dock, berth: Berth, word: &Outward) {
-        if dock.waiting(berth) > MOST_WAITING {
-            return dock.close(berth);
+    fn tell<P: Ports>(&self, ports: &mut P, berth: Berth, word: &Outward) {
+        if ports.waiting(berth) > MOST_WAITING {
+            return ports.close(berth);
         }
-        if let Some(out) = dock.output(berth) {
+        if let Some(out) = ports.output(berth) {
             push(out, word);
         }
     }
 
     /// Passes on to all that listen here what was news to this gateway.
-    pub fn pass_plan(&self, dock: &mut Dock, order: u64, plan: &Plan) {
+    pub fn pass_plan<P: Ports>(&self, ports: &mut P, order: u64, plan: &Plan) {
         if !self.below.is_empty() {
             let word = Outward::Plan { order, plan: plan.clone() };
-            self.below.keys().for_each(|berth| self.tell(dock, *berth, &word));
+            self.below.keys().for_each(|berth| self.tell(ports, *berth, &word));
         }
     }
 
-    pub fn pass_cut(&self, dock: &mut Dock) {
-        self.below.keys().for_each(|berth| self.tell(dock, *berth, &Outward::Cut(self.cut.clone())));
+    pub fn pass_cut<P: Ports>(&self, ports: &mut P) {
+        self.below.keys().for_each(|berth| self.tell(ports, *berth, &Outward::Cut(self.cut.clone())));
     }
 
     /// By how many gateways a budget is shared, or none while this one may take no share.
@@ -432,24 +439,24 @@
         self.cut.fence.0
     }
 
-    pub fn pass_whole(&self, dock: &mut Dock) {
-        self.below.keys().for_each(|berth| self.tell(dock, *berth, &Outward::Whole));
+    pub fn pass_whole<P: Ports>(&self, ports: &mut P) {
+        self.below.keys().for_each(|berth| self.tell(ports, *berth, &Outward::Whole));
     }
 
-    pub fn pass_nodes(&self, dock: &mut Dock, facts: &[NodeFact]) {
+    pub fn pass_nodes<P: Ports>(&self, ports: &mut P, facts: &[NodeFact]) {
         for (berth, below) in &self.below {
             let facts: Vec<NodeFact> =
                 facts.iter().filter(|fact| is_for(&below.share, fact, &self.services)).cloned().collect();
             if !facts.is_empty() {
-                self.tell(dock, *berth, &Outward::Nodes(facts));
+                self.tell(ports, *berth, &Outward::Nodes(facts));
             }
         }
     }
 
     /// Says farewell, so that nobody waits for this gateway.
-    pub fn leave(&mut self, dock: &mut Dock) {
+    pub fn leave<P: Ports>(&mut self, ports: &mut P) {
         for berth in self.streams.keys() {
-            if let Some(out) = dock.output(*berth) {
+            if let Some(out) = ports.output(*berth) {
                 push(out, &Inward::Leaving);
             }
         }
