Never send a request again over a connection to a node that carried it

Cause: a node that turns a request away may answer twice, the second time late ("a surplus answer may arrive late, in the place where the next one is expected"). Its id tells it from answers to other requests, but not from the answer to the next hand-off of the same one: on a service with one node that hand-off goes to the same node, over the same kept connection. Change: a request remembers the connections that it went over and takes another one (`Ask::used`); they are as many as its hand-offs. `given_a_request_that_a_line_carried_...` fails without it.

--- a/crates/fernknot-sluice/src/asks.rs
+++ b/crates/fernknot-sluice/src/asks.rs
@@ -55,6 +55,9 @@
     parts: Vec<Option<Response>>,
     /// A node's whole answer that is a failure, kept for want of a better one.
     failure: Option<Response>,
+    /// The connections that it went over, one for each hand-off. Guards against a late or doubled answer to one
+    /// hand-off in the place of the answer to another: both bear the same id, so that only the connection tells.
+    pub used: Vec<Berth>,
 }
 
 /// What a node's answer is worth.
@@ -157,6 +160,7 @@
             body: request.body,
             parts: (0..parts).map(|_| None).collect(),
             failure: None,
+            used: Vec::new(),
         }
     }
 
--- a/crates/fernknot-sluice/src/gateway/upstream.rs
+++ b/crates/fernknot-sluice/src/gateway/upstream.rs
@@ -175,8 +175,8 @@
         ports: &mut P,
     ) -> Result<(), Outcome> {
         let asker = self.by_multiget.get(&part.of).ok_or(Outcome::NeverSent)?;
-        let ask = self.asks.get(asker).ok_or(Outcome::NeverSent)?;
-        let (idle, past) = self.lines.idle(now, node);
+        let ask = self.asks.get_mut(asker).ok_or(Outcome::NeverSent)?;
+        let (idle, past) = self.lines.idle(now, node, &ask.used);
         past.into_iter().for_each(|berth| ports.close(berth));
         let place = self.lines.place(node).ok_or(Outcome::NeverSent)?;
         let berth = match idle.filter(|berth| ports.is_open(*berth)) {
@@ -191,6 +191,7 @@
                 berth
             }
         };
+        ask.used.push(berth);
         let place = self.lines.place(node).ok_or(Outcome::NeverSent)?;
         let out = ports.output(berth).ok_or(Outcome::NeverSent)?;
         ask.send(out, &place.life, ask.client_end - now);
--- a/crates/fernknot-sluice/src/lines.rs
+++ b/crates/fernknot-sluice/src/lines.rs
@@ -93,11 +93,13 @@
         self.places.get(&node).map_or(0, |place| place.open)
     }
 
-    /// An idle line to a node, the one used last; those past their time come back too, to be closed.
-    pub fn idle(&mut self, now: Nanos, node: NodeId) -> (Option<Berth>, Vec<Berth>) {
+    /// An idle line to a node, the one used last; those past their time come back too, to be closed. Lines in `used`
+    /// stay idle.
+    pub fn idle(&mut self, now: Nanos, node: NodeId, used: &[Berth]) -> (Option<Berth>, Vec<Berth>) {
         let mut past = Vec::new();
         let Some(place) = self.places.get_mut(&node) else { return (None, past) };
-        while let Some(berth) = place.idle.pop() {
+        while let Some(at) = place.idle.iter().rposition(|berth| !used.contains(berth)) {
+            let berth = place.idle.remove(at);
             match self.lines.get(&berth) {
                 Some(line) if line.until > now => return (Some(berth), past),
                 Some(_) => {
--- a/crates/fernknot-sluice/tests/answers.rs
+++ b/crates/fernknot-sluice/tests/answers.rs
@@ -133,7 +133,16 @@
     let mut input = buffer(&part("s", "0000000000000001"));
     assert!(matches!(lines.read(berth, &mut input, false, &limits()), Heard::Answer { .. }));
     assert!(lines.rest(berth, Nanos(10)));
-    assert_eq!(lines.idle(Nanos(5), NodeId(1)).0, Some(berth));
+    assert_eq!(lines.idle(Nanos(5), NodeId(1), &[]).0, Some(berth));
+}
+
+#[test]
+fn given_a_request_that_a_line_carried_when_it_goes_to_that_node_again_then_it_takes_another_line() {
+    let (mut lines, berth, _) = line();
+    lines.read(berth, &mut buffer(&part("s", "0000000000000001")), false, &limits());
+    assert!(lines.rest(berth, Nanos(10)));
+    assert_eq!(lines.idle(Nanos(5), NodeId(1), &[berth]), (None, vec![]));
+    assert_eq!(lines.idle(Nanos(5), NodeId(1), &[Berth(4)]).0, Some(berth));
 }
 
 #[test]
