Never take a connection that is gone for one that never came up

Cause: when a node is told as draining or lost, hand-offs whose connection is not yet up are taken back as never sent. Whether it is up was asked of the dock, which has forgotten a connection that was reset in the same turn: its `Gone` still waits behind the word about the node. So a request that had gone out, and may have run, passed for one that had not: it was sent again (TWICE), or its client was told 503 (REFUSED). A node that crashes while the loop stands still for some milliseconds is enough. Change: `Ports::is_opening`: only a connection that is there and not yet up is given up; the `Gone` of the others tells how they ended.

--- a/crates/fernknot-penstock/src/dock.rs
+++ b/crates/fernknot-penstock/src/dock.rs
@@ -235,6 +235,11 @@
         self.links.get(&berth).is_some_and(|link| link.open)
     }
 
+    /// Whether the connection is there and not yet up: nothing that was written has gone out.
+    pub fn is_opening(&self, berth: Berth) -> bool {
+        self.links.get(&berth).is_some_and(|link| !link.open)
+    }
+
     /// What came and is not yet consumed.
     pub fn input(&mut self, berth: Berth) -> Option<&mut Buffer> {
         self.links.get_mut(&berth).map(|link| &mut link.input)
--- a/crates/fernknot-penstock/src/ports.rs
+++ b/crates/fernknot-penstock/src/ports.rs
@@ -13,9 +13,13 @@
     /// Where none can be begun: no descriptors, no route, too many connections.
     fn connect(&mut self, peer: SocketAddrV4) -> Result<Berth, NetError>;
 
-    /// Whether the connection is there and up: until it is, nothing that was written has gone out.
+    /// Whether the connection is there and up.
     fn is_open(&self, berth: Berth) -> bool;
 
+    /// Whether the connection is there and not yet up: nothing that was written has gone out. One that is gone may have
+    /// been up before; its `Gone` tells.
+    fn is_opening(&self, berth: Berth) -> bool;
+
     /// What came and is not yet consumed.
     fn input(&mut self, berth: Berth) -> Option<&mut Buffer>;
 
@@ -47,6 +51,10 @@
         Dock::is_open(self, berth)
     }
 
+    fn is_opening(&self, berth: Berth) -> bool {
+        Dock::is_opening(self, berth)
+    }
+
     fn input(&mut self, berth: Berth) -> Option<&mut Buffer> {
         Dock::input(self, berth)
     }
--- a/crates/fernknot-sluice/src/gateway/upstream.rs
+++ b/crates/fernknot-sluice/src/gateway/upstream.rs
@@ -74,14 +74,16 @@
         }
     }
 
-    /// Gives up connections that are not up yet. Nothing of what they carry has been sent.
+    /// Gives up connections that are not up yet. Nothing of what they carry has been sent. Guards against taking one
+    /// that was up and is gone, of which this turn has still to tell, for one that never was.
     pub(super) fn give_up_unopened<P: Ports>(&mut self, now: Nanos, lines: Vec<Berth>, ports: &mut P) {
         for berth in lines {
-            if !ports.is_open(berth) {
+            if ports.is_opening(berth) {
                 self.line_lost(now, berth, Outcome::Unreachable, ports);
             }
         }
     }
+
     pub(super) fn line_lost<P: Ports>(&mut self, now: Nanos, berth: Berth, outcome: Outcome, ports: &mut P) {
         ports.close(berth);
         if let Some((part, no)) = self.lines.lost(berth)
