Measure what an inquiry costs a call, and end only once none waits

Need: the price of answering on a majority's word, before and after; and a registrar that was told to stop ended with calls still waiting for a round.

--- a/crates/fernknot-headworks/src/registrar.rs
+++ b/crates/fernknot-headworks/src/registrar.rs
@@ -498,7 +498,7 @@
         let out = self.views.as_ref().is_none_or(|views| {
             !views.is_sequencer() && views.sequencer().is_none_or(|first| first.addr != self.facts.addr)
         });
-        (alone || out) && self.changes.list.is_empty()
+        (alone || out) && self.changes.list.is_empty() && self.inquiries.is_empty()
     }
 
     // What goes out.
--- a/crates/fernknot-headworks/tests/common/mod.rs
+++ b/crates/fernknot-headworks/tests/common/mod.rs
@@ -7,13 +7,13 @@
 use fernknot_headworks::{Ear, Order, Plant, Registrar, RegistrarFacts, Slot};
 use fernknot_protocol::buffer::Buffer;
 use fernknot_standpipe::{Pulled, Request, Tap, TapFacts};
-use fernknot_views::{Saved, Ticket};
+use fernknot_views::{Saved, Ticket, Word};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// One way from one to another, and a sync of a disk.
-const WAY: Nanos = Nanos(1_000_000);
-const SYNC: Nanos = Nanos(2_000_000);
+pub const WAY: Nanos = Nanos(1_000_000);
+pub const SYNC: Nanos = Nanos(2_000_000);
 
 pub fn addr(at: usize) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, at as u8), 7121)
@@ -66,6 +66,8 @@
     /// What each listener has heard.
     pub heard: BTreeMap<u64, VecDeque<Outward>>,
     next: u64,
+    /// Words between registrars that were no pulses, so far.
+    pub words: u64,
 }
 
 impl Fleet {
@@ -95,6 +97,7 @@
             answers: BTreeMap::new(),
             heard: BTreeMap::new(),
             next: 0,
+            words: 0,
         };
         (1..=count).for_each(|at| fleet.start(at, true));
         fleet.run(ms(1500));
@@ -371,7 +374,11 @@
                     let text = String::from_utf8_lossy(reply.body.bytes()).into_owned();
                     self.answers.insert(slot.line, (reply.status, text));
                 }
-                Order::Say { to, word } => self.later(WAY, News::Word(at, number(&to), word)),
+                Order::Say { to, word } => {
+                    let lasting = !matches!(&word, PeerWord::Views(Word::Pulse(_)) | PeerWord::Heard(_));
+                    self.words += lasting as u64;
+                    self.later(WAY, News::Word(at, number(&to), word));
+                }
                 Order::Tell { to, word } => {
                     for ear in to {
                         self.heard.entry(ear.0).or_default().push_back(word.clone());
--- a/crates/fernknot-headworks/tests/worst_days.rs
+++ b/crates/fernknot-headworks/tests/worst_days.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{Fleet, Writes, ms, plan};
+use common::{Fleet, SYNC, WAY, Writes, ms, plan};
+use fernknot::interface::Nanos;
 use fernknot_conduit::{Outward, Share};
 use fernknot_headworks::Plant;
 use fernknot_registry::NodeState;
@@ -126,7 +127,7 @@
     let (one, two) = (first % 3 + 1, (first + 1) % 3 + 1);
     let head = format!("{REPLACE}Base-Epoch: 5\r\n");
     let calls = [fleet.call(one, &head, &plan(7, "two")), fleet.call(two, &head, &plan(7, "three"))];
-    fleet.run(fernknot::interface::Nanos(after * 500_000));
+    fleet.run(Nanos(after * 500_000));
     match trouble {
         0 => fleet.kill(first),
         1 => fleet.cut_off(first),
@@ -263,3 +264,33 @@
 fn given_ends_that_name_no_life_when_one_comes_for_an_earlier_then_it_is_found() {
     assert_eq!(an_end_for_an_earlier_life(Some(Plant::AnyLife)), (200, false));
 }
+
+/// What each call costs a calm fleet of three: milliseconds until its answer, and words between registrars. The lease
+/// answered all but changes at once, without a word.
+#[test_case("GET /-/config/read HTTP/1.1\r\n", "", 0, WAY + WAY, 4; "a read")]
+#[test_case("GET /-/readiness HTTP/1.1\r\n", "", 0, WAY + WAY, 4; "readiness")]
+#[test_case("POST /-/nodes/i-9/deregister HTTP/1.1\r\n", "{}", 0, WAY + WAY, 6; "a node that leaves, two of them its news")]
+#[test_case(&format!("{REPLACE}Base-Epoch: 3\r\n"), &plan(9, "x"), 0, WAY + WAY, 4; "a refusal by the sequencer")]
+#[test_case(&format!("{REPLACE}Base-Epoch: 3\r\n"), &plan(9, "x"), 1, WAY.times(4.0), 6; "a refusal by another")]
+#[test_case(&format!("{REPLACE}Base-Epoch: 0\r\n"), &plan(5, "one"), 1, Nanos(0), 0; "a repeat of what was taken")]
+#[test_case(&format!("{REPLACE}Base-Epoch: 5\r\n"), &plan(9, "x"), 0, WAY + WAY + SYNC, 6; "a change")]
+fn given_a_calm_fleet_when_a_call_is_made_then_it_costs_a_round(
+    head: &str,
+    body: &str,
+    away: usize,
+    takes: Nanos,
+    words: u64,
+) {
+    let mut fleet = Fleet::three();
+    assert_eq!(fleet.replace(1, 0, &plan(5, "one")), 200);
+    fleet.run(ms(50));
+    let at = (fleet.first() + away - 1) % 3 + 1;
+    let (begin, before) = (fleet.now, fleet.words);
+    assert!(fleet.answered(at, head, body) >= 200);
+    let took = fleet.now - begin;
+    fleet.run(ms(20));
+    let said = fleet.words - before;
+    println!("{} at {away} away: {} us, {said} words", head.trim(), took.0 / 1000);
+    assert!(took <= takes + Nanos(50_000), "{took:?}");
+    assert_eq!(said, words);
+}
