Tell a starting gateway no configuration while no majority is heard

Change: such listeners hear of nodes and a pulse without a lease, and the rest once a majority is heard again.

--- a/crates/fernknot-headworks/src/ears.rs
+++ b/crates/fernknot-headworks/src/ears.rs
@@ -4,7 +4,7 @@
 use fernknot_conduit::Share;
 use fernknot_duties::Gateway;
 use fernknot_registry::NodeFact;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One listener.
 #[derive(Clone, Debug)]
@@ -39,6 +39,8 @@
 #[derive(Debug, Default)]
 pub struct Ears {
     pub list: BTreeMap<Ear, Listener>,
+    /// Those that came while no majority was heard: they have not been told the configuration, nor that this is all.
+    pub partly: BTreeSet<Ear>,
 }
 
 impl Ears {
--- a/crates/fernknot-headworks/src/registrar.rs
+++ b/crates/fernknot-headworks/src/registrar.rs
@@ -330,6 +330,7 @@
                 self.cut_look = true;
             }
             Inward::Leaving => {
+                self.ears.partly.remove(&ear);
                 let Some(listener) = self.ears.list.remove(&ear) else { return };
                 let life = listener.who.life;
                 self.keeper.left(now, life);
@@ -348,6 +349,7 @@
     /// A listener's connection has gone. Its gateway may live: its beats say, not its connection.
     pub fn ear_gone(&mut self, ear: Ear) {
         self.ears.list.remove(&ear);
+        self.ears.partly.remove(&ear);
     }
 
     /// A word of the registrar that listens at `from`.
@@ -634,6 +636,9 @@
             let text = if lease { "a majority is heard" } else { "no majority is heard" };
             self.note(Level::Info, part::VIEWS, text.into());
         }
+        if lease && !self.ears.partly.is_empty() {
+            self.complete();
+        }
     }
 
     fn delivered(&mut self, no: OrderNo, state: &[u8]) {
@@ -670,7 +675,7 @@
             .ears
             .list
             .iter()
-            .filter(|(_, listener)| listener.order < order)
+            .filter(|(ear, listener)| listener.order < order && !self.ears.partly.contains(ear))
             .map(|(ear, _)| *ear)
             .collect();
         self.tell_plan(behind);
@@ -960,17 +965,43 @@
 
     // The gateways.
 
+    /// Guards against a gateway that starts while this registrar is cut off, and would be ready with an old
+    /// configuration: without a majority it hears of nodes, and that it had better ask another.
     fn welcome(&mut self, ear: Ear, listener: Listener) {
-        let behind = listener.order < self.in_force.order;
-        let (_, facts) = self.registry.snapshot();
-        let facts = listener.share_of(&facts);
         self.ears.list.insert(ear, listener);
-        if behind {
+        if self.holds_lease() {
+            return self.tell_all(ear);
+        }
+        self.ears.partly.insert(ear);
+        self.tell_nodes_to(ear);
+        let pulse = self.pulse_word();
+        self.orders.push_back(Order::Tell { to: vec![ear], word: pulse });
+    }
+
+    /// Those who were told in part get the rest, now that a majority is heard.
+    fn complete(&mut self) {
+        for ear in std::mem::take(&mut self.ears.partly) {
+            if self.ears.list.contains_key(&ear) {
+                self.tell_all(ear);
+            }
+        }
+    }
+
+    fn tell_all(&mut self, ear: Ear) {
+        if self.ears.list.get(&ear).is_some_and(|listener| listener.order < self.in_force.order) {
             self.tell_plan(vec![ear]);
         }
-        let cut = (self.cut.fence != Fence::default()).then(|| Outward::Cut(self.cut.clone()));
+        self.tell_nodes_to(ear);
         let pulse = self.pulse_word();
-        let words = cut.into_iter().chain([Outward::Nodes(facts), Outward::Whole, pulse]);
+        self.orders.extend([Outward::Whole, pulse].map(|word| Order::Tell { to: vec![ear], word }));
+    }
+
+    fn tell_nodes_to(&mut self, ear: Ear) {
+        let Some(listener) = self.ears.list.get(&ear) else { return };
+        let (_, facts) = self.registry.snapshot();
+        let facts = listener.share_of(&facts);
+        let cut = (self.cut.fence != Fence::default()).then(|| Outward::Cut(self.cut.clone()));
+        let words = cut.into_iter().chain([Outward::Nodes(facts)]);
         self.orders.extend(words.map(|word| Order::Tell { to: vec![ear], word }));
     }
 
--- a/crates/fernknot-headworks/tests/nodes.rs
+++ b/crates/fernknot-headworks/tests/nodes.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Fleet, ms};
+use common::{Fleet, ms, plan};
 use fernknot_conduit::{Inward, Outward, Share};
 use fernknot_headworks::Ear;
 use fernknot_registry::NodeState;
@@ -103,3 +103,24 @@
     assert!(after.0 > before.0);
     assert_eq!(after.1, 2);
 }
+
+#[test]
+fn given_a_registrar_that_is_cut_off_when_a_gateway_starts_then_it_is_told_no_configuration_until_the_others_are_back()
+ {
+    let mut fleet = Fleet::three();
+    assert_eq!(fleet.replace(1, 0, &plan(4, "one")), 200);
+    fleet.run(ms(50));
+    let first = fleet.first();
+    let other = first % 3 + 1;
+    fleet.cut_off(first);
+    fleet.run(ms(3000));
+    assert_eq!(fleet.replace(other, 4, &plan(7, "two")), 200);
+    let ear = fleet.listen(first, Share::All, 0);
+    fleet.run(ms(1000));
+    let whole = |fleet: &Fleet| fleet.heard[&ear].iter().any(|word| matches!(word, Outward::Whole));
+    assert!(fleet.plans(ear).is_empty() && !whole(&fleet), "it would be ready with an old one");
+    fleet.join_all();
+    fleet.run(ms(6000));
+    assert_eq!(fleet.plans(ear), [7]);
+    assert!(whole(&fleet));
+}
