--- a/crates/fernknot-sluice/src/gateway/downstream.rs
+++ b/crates/fernknot-sluice/src/gateway/downstream.rs
@@ -3,6 +3,7 @@
 use super::{Gateway, Plant, TICK_MS};
 use crate::asks::{Ask, Final, wire};
 use crate::clients::Door;
+use fernknot::decide::FIRST_WAIT;
 use fernknot::interface::*;
 use fernknot_engine::{AskerId, Verdict};
 use fernknot_intake::Target;
@@ -99,7 +100,8 @@
         self.counters.requests += 1;
         let Some(pinned) = self.pinned.clone() else {
             self.counters.unplanned += 1;
-            return self.say(now, berth, 503, Some(0.5), b"no configuration yet\n", ports);
+            let wait = Some(FIRST_WAIT.as_millis() / 1e3);
+            return self.say(now, berth, 503, wait, b"no configuration yet\n", ports);
         };
         let host = request.header("host").unwrap_or_default();
         let Some(index) = pinned.find(host, request.path()) else {
--- a/crates/fernknot-sluice/src/routes.rs
+++ b/crates/fernknot-sluice/src/routes.rs
@@ -1,5 +1,6 @@
 //! The configuration as one gateway holds it: pinned by each request when its head is read.
 
+use fernknot::decide::{LATE_SHARE, earnings};
 use fernknot::interface::*;
 use fernknot_intake::{Class, Plan, Route, RouteTable, Target};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -64,10 +65,8 @@
     UseCaseFacts {
         goal: Nanos::from_millis(route.target_ms as f64),
         hard_limit: Nanos::from_millis(route.deadline_ms as f64),
-        // A lower rank goes before a higher one, each half as much as the one before.
-        earnings: 0.5f64.powi(route.rank.min(30) as i32),
-        // What a late answer earns is not told; a third is what it usually does.
-        late_share: 1.0 / 3.0,
+        earnings: earnings(route.rank),
+        late_share: LATE_SHARE,
         squared: matches!(route.to, Target::Fanout { .. }),
         effect,
         stretch: 0.0,
--- a/src/decide/copies.rs
+++ b/src/decide/copies.rs
@@ -54,9 +54,7 @@
         }
         self.mean_copies = if all > 0.0 { 1.0 + extra / all } else { 1.0 };
         self.groups.halve();
-        for case in &mut self.use_cases {
-            case.latencies.halve();
-        }
+        self.use_cases.iter_mut().for_each(|case| case.latencies.halve());
         let span = self.cold.window.times(COLD_SPANS);
         let warm =
             self.nodes.values().filter(|node| node.health == Health::Running && !self.is_cold(now, node));
@@ -86,8 +84,7 @@
         }
         self.nodes.retain(|_, node| node.health != Health::Gone || !node.is_forgotten());
         self.by_place.keep(|id| self.nodes.contains_key(id));
-        let window = self.budget.as_ref().map_or(RECOMPUTE, |budget| budget.window);
-        let longest = window.max(RECOMPUTE) + RECOMPUTE;
+        let longest = self.budget.as_ref().map_or(RECOMPUTE, |rule| rule.window).max(RECOMPUTE) + RECOMPUTE;
         self.first_sends.forget(now, longest);
         self.spent.forget(now, longest);
         // Guards the memory of a router that runs for days against shards that came and went.
--- a/src/decide/further.rs
+++ b/src/decide/further.rs
@@ -61,9 +61,7 @@
                     self.hand_off(now, part.id, &offer);
                     self.copy(now, part.id);
                 }
-                Some(offer) if self.may_send_further(now, &part) => {
-                    self.hand_off(now, part.id, &offer);
-                }
+                Some(offer) if self.may_send_further(now, &part) => self.hand_off(now, part.id, &offer),
                 _ if out == 0 && !part.hand_offs.is_empty() && !self.may_yet(now, &part) => {
                     if let Some(multiget) = self.open.get_mut(&id) {
                         multiget.parts[index].given_up = true;
@@ -109,9 +107,8 @@
                         *overdue = true;
                     }
                 }
-                if let Some(multiget) = self.open.get_mut(&part.id.of) {
-                    multiget.parts[part.id.index].hand_offs[no].missed = true;
-                }
+                let open = self.open.get_mut(&part.id.of).into_iter();
+                open.for_each(|open| open.parts[part.id.index].hand_offs[no].missed = true);
                 // Guards a sound node against a connection that has fallen silent.
                 self.ready.push_back(Decision::Renew { node: sent.node });
                 self.tell(now, sent.node, News::Overdue);
--- a/src/decide/learn.rs
+++ b/src/decide/learn.rs
@@ -197,9 +197,8 @@
 
     /// A node's own account of its load, with an outcome or a probe's result.
     pub fn reported(&mut self, node: NodeId, report: LoadReport) {
-        if let Some(node) = self.nodes.get_mut(&node) {
-            node.busy_share = report.busy_share.or(node.busy_share);
-        }
+        let node = self.nodes.get_mut(&node).into_iter();
+        node.for_each(|node| node.busy_share = report.busy_share.or(node.busy_share));
     }
 
     /// What another router tells of its hand-offs: as good as our own for how a replica does and
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -50,6 +50,15 @@
 /// A share counts as reached when it falls short by no more than rounding.
 const ROUNDING: f64 = 0.00005;
 
+/// What an answer past its goal time earns where nothing is told, and when to come back before all is known.
+pub const LATE_SHARE: f64 = 1.0 / 3.0;
+pub const FIRST_WAIT: Nanos = Nanos(500_000_000);
+
+/// What a use case earns by its rank: each half as much as the one before.
+pub fn earnings(rank: u32) -> f64 {
+    0.5f64.powi(rank.min(30) as i32)
+}
+
 impl Router {
     pub fn new(seed: u64, facts: SiteFacts, now: Nanos) -> Router {
         let goal = facts.use_cases.iter().map(|case| case.goal).min();
@@ -117,9 +126,8 @@
                 self.tell_at = self.tell_at.filter(|_| !self.news.is_empty());
                 return Some(Decision::Tell { news });
             } else {
-                let due = self.due.first().map(|(at, _)| *at);
-                let at =
-                    due.into_iter().chain(self.ask_at).chain(self.tell_at).fold(self.replan_at, Nanos::min);
+                let due = [self.due.first().map(|(at, _)| *at), self.ask_at, self.tell_at];
+                let at = due.into_iter().flatten().fold(self.replan_at, Nanos::min);
                 if self.wake_at.is_some_and(|set| set > now && set <= at) {
                     return None;
                 }
