--- a/crates/fernknot-headworks/src/host.rs
+++ b/crates/fernknot-headworks/src/host.rs
@@ -50,8 +50,8 @@
 
 /// Who is at the other end.
 enum End {
-    /// A node or an operator, over HTTP, and how many calls it has made on this connection.
-    Caller(Tap, u64),
+    /// A node or an operator, over HTTP.
+    Caller(Tap),
     /// A process of the system that speaks to this one; a registrar once it said where it listens.
     Inner(Option<SocketAddrV4>),
     /// A registrar to whom this one speaks.
@@ -363,13 +363,9 @@
     fn answer(&mut self, slot: Slot, reply: &fernknot_standpipe::Reply) {
         let last = self.stopping.is_some();
         let berth = Berth(slot.line);
-        let Some(Line { end: End::Caller(tap, calls), .. }) = self.lines.get_mut(&berth) else { return };
-        // Guards against an answer to an earlier call on this connection.
-        if *calls != slot.call {
-            return;
-        }
+        let Some(Line { end: End::Caller(tap), .. }) = self.lines.get_mut(&berth) else { return };
         let Some(out) = self.dock.output(berth) else { return };
-        if !tap.answer(out, reply, last) {
+        if !tap.answer(out, slot.call, reply, last) {
             self.lines.remove(&berth);
             return self.dock.close_after(berth);
         }
@@ -387,8 +383,10 @@
         let Some(line) = self.lines.remove(&berth) else { return };
         self.dock.close(berth);
         match line.end {
-            End::Caller(tap, call) if tap.waits() => self.brain.call_gone(Slot { line: berth.0, call }),
-            End::Caller(..) => {}
+            End::Caller(tap) if tap.waits() => {
+                self.brain.call_gone(Slot { line: berth.0, call: tap.call() });
+            }
+            End::Caller(_) => {}
             End::Inner(_) => self.brain.ear_gone(Ear(berth.0)),
             End::Outer(to) => {
                 self.outer.remove(&to);
@@ -401,7 +399,7 @@
         let now = self.now();
         match event {
             Event::Accepted { berth, at, .. } => {
-                let end = if at == self.control { End::Caller(Tap::default(), 0) } else { End::Inner(None) };
+                let end = if at == self.control { End::Caller(Tap::default()) } else { End::Inner(None) };
                 self.lines.insert(berth, Line { end, heard: now });
             }
             Event::Opened { berth } => {
@@ -414,7 +412,7 @@
                 let Some(line) = self.lines.get_mut(&berth) else { return };
                 line.heard = now;
                 match line.end {
-                    End::Caller(..) => self.caller_came(berth),
+                    End::Caller(_) => self.caller_came(berth),
                     End::Inner(_) => self.inner_came(now, berth),
                     // Nothing is said back on these.
                     End::Outer(_) => self.gone(now, berth),
@@ -433,7 +431,7 @@
 
     fn caller_came(&mut self, berth: Berth) {
         let now = self.now();
-        let Some(Line { end: End::Caller(tap, calls), .. }) = self.lines.get_mut(&berth) else { return };
+        let Some(Line { end: End::Caller(tap), .. }) = self.lines.get_mut(&berth) else { return };
         let mut input = match self.dock.input(berth) {
             Some(input) => std::mem::take(input),
             None => return,
@@ -446,8 +444,7 @@
         match pulled {
             Pulled::Nothing => {}
             Pulled::Call(request) => {
-                *calls += 1;
-                let slot = Slot { line: berth.0, call: *calls };
+                let slot = Slot { line: berth.0, call: tap.call() };
                 self.brain.call(now, slot, &request);
             }
             Pulled::Bad => {
@@ -491,7 +488,7 @@
         let contact = millis(self.facts.bounds.contact_ms);
         self.sweep_at = now + contact;
         let late = |line: &Line| match &line.end {
-            End::Caller(tap, _) => !tap.waits() && now - line.heard > contact.times(IDLE_CONTACTS),
+            End::Caller(tap) => !tap.waits() && now - line.heard > contact.times(IDLE_CONTACTS),
             End::Inner(_) => now - line.heard > contact.times(SILENT_CONTACTS),
             End::Outer(_) => false,
         };
--- a/crates/fernknot-standpipe/src/lib.rs
+++ b/crates/fernknot-standpipe/src/lib.rs
@@ -9,4 +9,4 @@
 pub use call::{Asked, Body, Call, Reply};
 pub use desk::{Desk, Serve, Served};
 pub use fernknot_protocol::http::Request;
-pub use tap::{Pulled, Tap, TapFacts};
+pub use tap::{Plant, Pulled, Tap, TapFacts};
--- a/crates/fernknot-standpipe/src/tap.rs
+++ b/crates/fernknot-standpipe/src/tap.rs
@@ -48,15 +48,36 @@
     Bad,
 }
 
+/// Breaks planted for the checkers, which must find each one.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// An answer goes to whatever waits on its connection.
+    AnswerByConnection,
+}
+
 /// One connection: reads a request only once the one before is answered.
 #[derive(Debug, Default)]
 pub struct Tap {
     reader: RequestReader,
     /// Whether the connection goes on, and the caller's older HTTP, of the request that waits for its answer.
     waits: Option<(bool, bool)>,
+    calls: u64,
+    plant: Option<Plant>,
 }
 
 impl Tap {
+    /// One with a break in it.
+    #[doc(hidden)]
+    pub fn planted(plant: Plant) -> Tap {
+        Tap { plant: Some(plant), ..Tap::default() }
+    }
+
+    /// The number on this connection of the call that came last, from 1; 0 before the first.
+    pub fn call(&self) -> u64 {
+        self.calls
+    }
+
     /// A request waits for its answer.
     pub fn waits(&self) -> bool {
         self.waits.is_some()
@@ -75,6 +96,7 @@
         match self.reader.read(input, &facts.limits) {
             Ok(Some(request)) => {
                 self.waits = Some((request.keep, request.old));
+                self.calls += 1;
                 Pulled::Call(request)
             }
             Ok(None) => {
@@ -90,8 +112,13 @@
         }
     }
 
-    /// Writes the answer to the request that waits. True where the connection goes on after it; `last` ends it.
-    pub fn answer(&mut self, out: &mut Buffer, reply: &Reply, last: bool) -> bool {
+    /// Writes the answer to the call of this number, if that is the one that waits. True where the connection goes on
+    /// after it; `last` ends it. Guards against an answer that comes when its call has been answered otherwise, and
+    /// another one waits on the connection.
+    pub fn answer(&mut self, out: &mut Buffer, call: u64, reply: &Reply, last: bool) -> bool {
+        if call != self.calls && self.plant != Some(Plant::AnswerByConnection) {
+            return true;
+        }
         let Some((keep, old)) = self.waits.take() else { return true };
         let keep = keep && !last;
         write(out, reply, keep, old);
--- a/crates/fernknot-standpipe/tests/calls.rs
+++ b/crates/fernknot-standpipe/tests/calls.rs
@@ -91,9 +91,9 @@
     let (mut tap, mut out) = (Tap::default(), Buffer::default());
     assert_matches!(tap.pull(&mut input, &mut out, &facts()), Pulled::Call(request) if request.target == "/a");
     assert_matches!(tap.pull(&mut input, &mut out, &facts()), Pulled::Nothing);
-    assert!(tap.answer(&mut out, &Reply::done(), false), "it goes on");
+    assert!(tap.answer(&mut out, 1, &Reply::done(), false), "it goes on");
     assert_matches!(tap.pull(&mut input, &mut out, &facts()), Pulled::Call(request) if request.target == "/b");
-    assert!(!tap.answer(&mut out, &Reply::done(), false), "the caller wanted it closed");
+    assert!(!tap.answer(&mut out, 2, &Reply::done(), false), "the caller wanted it closed");
 }
 
 #[test]
