--- a/crates/fernknot-headworks/src/control.rs
+++ b/crates/fernknot-headworks/src/control.rs
@@ -88,3 +88,10 @@
     /// None before the first configuration.
     pub plan: Option<Plan>,
 }
+
+impl InForce {
+    /// Nothing is known yet.
+    pub fn none() -> InForce {
+        InForce { order: 0, control: Control::default(), body: Arc::from([]), plan: None }
+    }
+}
--- a/crates/fernknot-headworks/src/registrar.rs
+++ b/crates/fernknot-headworks/src/registrar.rs
@@ -236,7 +236,7 @@
             views: None,
             views_due: now,
             views_wake: now,
-            in_force: InForce { order: 0, control: Control::default(), body: Arc::from([]), plan: None },
+            in_force: InForce::none(),
             changes: Changes::new(plant == Some(Plant::ForgetEarly)),
             inquiries: BTreeMap::new(),
             next_inquiry: 0,
@@ -635,6 +635,8 @@
                 }
                 ViewOrder::Left => self.note(Level::Warn, part::VIEWS, "in no view any more".into()),
                 ViewOrder::Renewed { .. } => {
+                    // Guards against a repeat acknowledged out of a history that an operator has given up.
+                    self.in_force = InForce::none();
                     let text = "the disk is an older copy of itself, or closed out: joins as a new member";
                     self.note(Level::Warn, part::VIEWS, text.into());
                 }
--- a/crates/fernknot-headworks/tests/views.rs
+++ b/crates/fernknot-headworks/tests/views.rs
@@ -68,3 +68,24 @@
     }
     assert_eq!(fleet.read(3), (200, plan(9, "three")));
 }
+
+#[test]
+fn given_two_that_were_only_cut_off_when_they_hear_of_the_forced_view_then_what_they_confirmed_is_void() {
+    let mut fleet = Fleet::three();
+    assert_eq!(fleet.replace(1, 0, &plan(7, "one")), 200);
+    fleet.run(ms(50));
+    fleet.cut_off(3);
+    fleet.run(ms(4000));
+    assert_eq!(fleet.replace(1, 7, &plan(8, "two")), 200);
+    let lost = vec![addr(1), addr(2)];
+    assert_matches!(fleet.order(3, Inward::Force { lost }), Some(Outward::Forced(Ok(_))));
+    fleet.run(ms(500));
+    fleet.join_all();
+    fleet.run(ms(6000));
+    for at in 1..=3 {
+        assert_eq!(fleet.read(at), (200, plan(7, "one")), "read at {at}");
+    }
+    // It is an order like any other now: on version 8 nothing can be built.
+    assert_eq!(fleet.replace(1, 8, &plan(9, "three")), 412);
+    assert_eq!(fleet.replace(2, 7, &plan(9, "three")), 200);
+}
--- a/crates/fernknot-views/src/types.rs
+++ b/crates/fernknot-views/src/types.rs
@@ -398,6 +398,8 @@
     OldCopyVotes,
     /// One that joins counts before it has what the view begins with.
     JoinerCounts,
+    /// Where a view began is guessed when it is not remembered any more.
+    FloorGuessed,
     /// A forced view has the next number, and closes nobody out.
     UnfencedForce,
     /// An inquiry is confirmed by the member's own state.
--- a/crates/fernknot-views/src/views.rs
+++ b/crates/fernknot-views/src/views.rs
@@ -838,10 +838,14 @@
     fn clear_up(&mut self) {
         let base = self.cur.base.clone();
         let force = self.force;
+        let guesses = self.plant == Some(Plant::FloorGuessed);
         let orders = &mut self.orders;
         self.unclear.retain(|(proposal, view, no)| {
             let next = ViewNo(view.0.saturating_add(1));
             let Some((_, floor)) = base.floors.iter().find(|(view, _)| *view == next) else {
+                if guesses {
+                    orders.push_back(Order::Refused { proposal: *proposal });
+                }
                 return base.floors.first().is_some_and(|(oldest, _)| *oldest <= next);
             };
             if floor < no {
