--- a/crates/fernknot-views/tests/past.rs
+++ b/crates/fernknot-views/tests/past.rs
@@ -69,6 +69,42 @@
     assert!(known >= 34, "{known}");
 }
 
+#[test]
+fn given_an_older_copy_of_five_when_most_of_the_others_restart_then_one_that_did_not_is_enough_to_know_it() {
+    for seed in 0..20 * more_seeds() {
+        let (at, writes) = (seed as usize % 5, 1 + seed as usize % 9);
+        let mut fleet = founded(700 + seed, 5, 2, None);
+        let was = fleet.machines[at].id;
+        fleet.restore(at, writes);
+        (1..4).for_each(|next| fleet.kill((at + next) % 5));
+        (0..5).for_each(|other| fleet.restart(other));
+        assert_matches!(fleet.goes_on(4 * SUSPECT), Some(_), "seed {seed}");
+        fleet.play(2 * SUSPECT);
+        assert_eq!(fleet.machines[at].renewed, vec![was], "seed {seed}");
+        assert_eq!((fleet.broken.clone(), fleet.members().len()), (None, 5), "seed {seed}");
+    }
+}
+
+#[test]
+fn given_two_losses_borne_when_one_disk_is_an_older_copy_and_another_empty_then_nothing_is_lost() {
+    for seed in 0..20 * more_seeds() {
+        let (at, writes) = (seed as usize % 5, 1 + seed as usize % 9);
+        let mut fleet = founded(800 + seed, 5, 2, None);
+        fleet.propose();
+        let after = fleet.chance.draw(10 * MS);
+        fleet.play(after);
+        fleet.restore(at, writes);
+        fleet.wipe((at + 1 + seed as usize % 4) % 5);
+        if seed % 2 == 0 {
+            (0..5).for_each(|other| fleet.kill(other));
+        }
+        (0..5).for_each(|other| fleet.restart(other));
+        assert_matches!(fleet.goes_on(4 * SUSPECT), Some(_), "seed {seed}");
+        fleet.play(4 * SUSPECT);
+        assert_eq!((fleet.broken.clone(), fleet.members().len()), (None, 5), "seed {seed}");
+    }
+}
+
 /// The view of the others begins, and acknowledges; then one of it comes back with the copy from before, and finds
 /// only the one who wasn't there.
 fn back_to_before_the_view(fleet: &mut Fleet) {
