Give up an older copy only for a view that goes on without it

Cause: where all disks had lost what they had called synced, each was an older copy for another, and all gave themselves up: everything was lost where a few writes were. Change: an older copy takes no part and says its disk is bad; it is given up once a view in force answers it. An operator may force a view of such copies at the one that holds most (--lost none).

--- a/crates/fernknot-cli/src/main.rs
+++ b/crates/fernknot-cli/src/main.rs
@@ -25,7 +25,8 @@
                                                        asks a process what it holds
        fernknot views force ADDR --lost ADDR[,ADDR...] --yes-the-others-are-lost
                                                        makes a view of what is left, when more disks are lost for good
-                                                       than may be; see docs/operating.md before
+                                                       than may be (`--lost none`: all disks are older copies
+                                                       of themselves); see docs/operating.md before
        fernknot demo [--gateways N] [--seconds N]      starts a system on loopback and sends it queries
        fernknot measure gateways|nodes|routes|changes|queries|shards
                         [--sizes N,N...] [--seconds N] [--gateways N] [--zones N] [--json]
--- a/crates/fernknot-cli/src/talk.rs
+++ b/crates/fernknot-cli/src/talk.rs
@@ -107,7 +107,7 @@
     let lost = words.value("lost").ok_or_else(|| {
         Fail::Usage("--lost is missing: whose disks are gone for good, as `show views` names them".into())
     })?;
-    let lost = addrs(OsStr::new(lost))?;
+    let lost = if lost == "none" { Vec::new() } else { addrs(OsStr::new(lost))? };
     if !words.flag("yes-the-others-are-lost") {
         return Err(Fail::Usage(
             "--yes-the-others-are-lost is missing: what only they hold is given up, and they come back as new members"
--- a/crates/fernknot-headworks/src/standing.rs
+++ b/crates/fernknot-headworks/src/standing.rs
@@ -10,6 +10,7 @@
         Lack::DiskNotWell => "its disk hangs or refuses",
         Lack::TooSlow => "does not store in time",
         Lack::Asks => "asks the others what its disk had vouched for",
+        Lack::OlderCopy => "its disk is an older copy of itself",
         Lack::CatchingUp => "catches up",
         Lack::NotWithAll => "not in touch with all of the view",
     }
--- a/crates/fernknot-views/src/forced.rs
+++ b/crates/fernknot-views/src/forced.rs
@@ -46,7 +46,7 @@
         let mut votes = 0;
         for seat in voters(&view) {
             if same(view.no, seat, &self.facts.me) {
-                votes += 1;
+                votes += !self.past.condemned as usize;
                 continue;
             }
             let at = self.addr(seat);
@@ -55,7 +55,9 @@
             match heard.filter(|_| !self.replaced(seat)) {
                 Some(_) if named => return Err(ForceError::Heard(at)),
                 Some(peer) => {
-                    votes += 1;
+                    // An older copy votes on nothing by itself.
+                    let told = &peer.told;
+                    votes += !(told.asks && (!told.well || self.asks_long(peer))) as usize;
                     survivors.push(peer.told.who.clone());
                 }
                 None if named || self.replaced(seat) => {}
@@ -102,8 +104,6 @@
         self.cur.vouched = None;
         self.move_to(Base { view: View { no, members, absent: Vec::new() }, floors });
         (self.cur.held, self.cur.no, self.cur.state) = (no, order, newest.2);
-        // An operator has vouched for this disk.
-        self.past.proven = true;
         self.settle();
         Ok(no)
     }
--- a/crates/fernknot-views/src/past.rs
+++ b/crates/fernknot-views/src/past.rs
@@ -1,6 +1,7 @@
 //! The past of a disk. A member that starts from a disk can't see whether it is the newest copy: others remember
 //! what came from it. Until those who could know have spoken, or have been silent for as long as anybody is
-//! waited for, it takes no part; one that others remember further becomes a new member with an empty disk.
+//! waited for, it takes no part. One that others remember further never does, and becomes a new member with an empty
+//! disk once a view is in force without it.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
@@ -20,6 +21,8 @@
     pub safe: Mark,
     /// Nothing that came from this disk is missing on it, as far as can be known.
     pub proven: bool,
+    /// Others remember more than there is.
+    pub condemned: bool,
     /// Those who remember no more of it than there is.
     recalls: BTreeMap<MemberId, Member>,
     /// How far the disks of others had come.
@@ -34,6 +37,7 @@
             began: saved.mark(),
             safe: saved.mark(),
             proven,
+            condemned: false,
             recalls: BTreeMap::new(),
             marks: saved.marks.iter().take(MOST_PEERS).copied().collect(),
             deferred: VecDeque::new(),
@@ -109,7 +113,7 @@
                 // Who is to be asked is known by the newest view.
                 self.move_to(base.clone());
                 if self.past.proven {
-                    return None; // closed out by that view: a new member
+                    return Some(word); // a forced view: closed out by it, or taken into it
                 }
             }
             Word::Change { .. } | Word::Commit { .. } | Word::Chosen { .. } => {}
@@ -129,17 +133,28 @@
             return;
         }
         if !self.past.began.covers(mark) {
-            return self.renew();
+            self.pulse_soon |= !self.past.condemned;
+            self.past.condemned = true;
+            return;
         }
         if self.past.recalls.len() < MOST_PEERS {
             self.past.recalls.insert(who.id, who);
         }
     }
 
+    /// An older copy is given up only for a view that goes on without it. Guards against all giving themselves up for
+    /// each other, where all disks have lost something that they had called synced.
+    pub(crate) fn give_up_copy(&mut self, told: &Pulse) {
+        let live = told.echo.0 == self.life;
+        if self.past.condemned && live && told.force && told.view >= self.cur.base.view.no {
+            self.renew();
+        }
+    }
+
     /// Acts from here on if a majority of the voters, itself counted, knows of nothing that is missing, and each
     /// other voter has said so or has been silent for as long as anybody is waited for.
     pub(crate) fn prove(&mut self) {
-        if self.past.proven {
+        if self.past.proven || self.past.condemned {
             return;
         }
         let view = &self.cur.base.view;
--- a/crates/fernknot-views/src/standing.rs
+++ b/crates/fernknot-views/src/standing.rs
@@ -43,7 +43,8 @@
         let view = &self.cur.base.view;
         if same(view.no, member, &self.facts.me) {
             return match (self.past.proven, self.well(), self.holds() && self.safe.1 == view.no) {
-                (false, _, _) => Some(Lack::Asks),
+                (false, ..) if self.past.condemned => Some(Lack::OlderCopy),
+                (false, ..) => Some(Lack::Asks),
                 (_, false, _) => Some(Lack::DiskNotWell),
                 (_, _, false) => Some(Lack::CatchingUp),
                 _ => None,
@@ -63,6 +64,8 @@
             Some(Lack::Replaced)
         } else if !self.fresh(peer) {
             Some(Lack::Silent)
+        } else if peer.told.asks && !peer.told.well {
+            Some(Lack::OlderCopy)
         } else if !peer.told.well {
             Some(Lack::DiskNotWell)
         } else if peer.slow_until > self.now {
--- a/crates/fernknot-views/src/types.rs
+++ b/crates/fernknot-views/src/types.rs
@@ -279,6 +279,8 @@
     TooSlow,
     /// It started from a disk, and waits for word of what had come from it before.
     Asks,
+    /// Its disk is an older copy of itself, or not well.
+    OlderCopy,
     /// It has not yet what the view holds.
     CatchingUp,
     /// It is in touch with this one, but not with all in the view.
--- a/crates/fernknot-views/src/views.rs
+++ b/crates/fernknot-views/src/views.rs
@@ -601,7 +601,7 @@
             commit: self.commit,
             force: self.force && self.safe.0 == view.no,
             stopped: self.stopped(),
-            well: self.well(),
+            well: self.well() && !self.past.condemned,
             life: self.life,
             at: self.now.0,
             echo: (0, 0),
@@ -707,6 +707,7 @@
         let is = self.peers.get(&id).is_some_and(|peer| self.fresh(peer));
         self.pulse_soon |= is != was || away || told.view > self.cur.base.view.no;
         self.recall(from, &told);
+        self.give_up_copy(&told);
         self.catch_up(from, &told);
         self.heed(&told);
         self.force_when_all_hold();
@@ -797,6 +798,10 @@
         if self.closed_out(&base) && self.plant != Some(Plant::UnfencedForce) {
             return self.renew();
         }
+        if era(base.view.no) > era(self.cur.base.view.no) {
+            // An operator has vouched for this disk, whatever is missing on it.
+            (self.past.proven, self.past.condemned) = (true, false);
+        }
         let vouched = self.cur.vouched.take().filter(|vouched| vouched.next == base);
         if let Some(vouched) = vouched {
             if let Some(state) = vouched.state {
--- a/crates/fernknot-views/tests/past.rs
+++ b/crates/fernknot-views/tests/past.rs
@@ -105,6 +105,46 @@
     }
 }
 
+#[test]
+fn given_all_disks_older_than_was_said_when_all_return_then_none_is_given_up_before_an_operator_forces_a_view()
+ {
+    let (mut by_themselves, mut forced) = (0, 0);
+    for seed in 0..60 * more_seeds() {
+        let mut fleet = founded(900 + seed, 3, 1, None);
+        for at in 0..3 {
+            let writes = fleet.chance.draw(6) as usize;
+            fleet.restore(at, writes);
+        }
+        // What was on the lost writes may be lost; what is taken from here on may not.
+        let newest =
+            fleet.machines.iter().filter_map(|machine| machine.saved.as_ref()).map(|saved| saved.no).max();
+        fleet.taken.clear();
+        fleet.states.retain(|no, _| Some(*no) <= newest.map(|newest| newest.0));
+        (0..3).for_each(|at| fleet.restart(at));
+        if fleet.goes_on(6 * SUSPECT).is_some() {
+            by_themselves += 1;
+        } else {
+            assert!(fleet.machines.iter().all(|machine| machine.renewed.is_empty()), "seed {seed}");
+            let now = fernknot::interface::Nanos(fleet.now);
+            let ends: Vec<bool> = (0..3)
+                .map(|at| {
+                    let end = fleet.machines[at].views.as_mut().unwrap().force(now, &[]).is_ok();
+                    fleet.serve(at);
+                    end
+                })
+                .collect();
+            assert_eq!(ends.iter().filter(|end| **end).count(), 1, "seed {seed}: {ends:?}");
+            assert_matches!(fleet.goes_on(4 * SUSPECT), Some(_), "seed {seed}");
+            forced += 1;
+        }
+        fleet.play(4 * SUSPECT);
+        assert!(fleet.agree() && fleet.members().len() == 3, "seed {seed}: {:?}", fleet.members());
+        assert_eq!(fleet.broken, None, "seed {seed}");
+    }
+    println!("all older: {by_themselves} went on by themselves, {forced} by an operator's order");
+    assert!(by_themselves > 0 && forced > 0);
+}
+
 /// The view of the others begins, and acknowledges; then one of it comes back with the copy from before, and finds
 /// only the one who wasn't there.
 fn back_to_before_the_view(fleet: &mut Fleet) {
