Count what clients of the stage are told, and ask that both refusals occur

Cause: a run in which no 408 is told would show nothing of it. Change: the checker counts 408 and 503 apart, and the run over all seeds fails where one never occurs.

--- a/crates/fernknot-sluice/tests/callers.rs
+++ b/crates/fernknot-sluice/tests/callers.rs
@@ -17,9 +17,11 @@
 const WITHIN: u64 = 10;
 
 /// What has to have happened over all seeds.
-const HAPPENS: [&str; 21] = [
+const HAPPENS: [&str; 23] = [
     "successes",
     "promises",
+    "told 408",
+    "told 503",
     "without a promise",
     "failures of nodes",
     "no route",
--- a/crates/fernknot-sluice/tests/stage/checker.rs
+++ b/crates/fernknot-sluice/tests/stage/checker.rs
@@ -166,6 +166,7 @@
             }
             408 | 421 | 429 | 503 => {
                 self.seen.add("promises");
+                self.seen.add(if status == 408 { "told 408" } else { "told 503" });
                 self.promised.insert(no, status);
             }
             400 if !attempt.is_ascii() => self.seen.add("ids that are no text"),
@@ -233,6 +234,7 @@
                 self.fault(format!("TWICE: {attempt} {:?}: {runs:?}", self.asked[no].kind));
             }
             match self.promised.get(&no) {
+                // The rules keep this promise for what may not be repeated; the rest is counted.
                 Some(status) if once => self.fault(format!("REFUSED: {attempt} got {status}, and {runs:?}")),
                 Some(_) => self.seen.add("promises to what may be repeated, and ran"),
                 None => {}
