--- a/crates/fernknot-sluice/src/clients.rs
+++ b/crates/fernknot-sluice/src/clients.rs
@@ -21,6 +21,8 @@
     /// The connection goes on after the answer to it, as far as the client is concerned.
     pub keep: bool,
     pub old: bool,
+    /// The request in hand is a `HEAD`: its answer has no body.
+    pub bodiless: bool,
     /// Since when it has been idle, or the request that it is sending has been coming.
     pub since: Nanos,
     pub coming: bool,
@@ -31,7 +33,17 @@
 impl Client {
     pub fn new(door: Door, now: Nanos) -> Client {
         let reader = RequestReader::default();
-        Client { door, reader, asker: None, keep: true, old: false, since: now, coming: false, ended: false }
+        Client {
+            door,
+            reader,
+            asker: None,
+            keep: true,
+            old: false,
+            bodiless: false,
+            since: now,
+            coming: false,
+            ended: false,
+        }
     }
 }
 
@@ -46,12 +58,17 @@
         let waits = self.held.iter().filter(|(_, client)| client.asker.is_none());
         let late =
             waits.filter(|(_, client)| now - client.since > if client.coming { sending } else { idle });
-        late.map(|(berth, client)| (*berth, client.coming)).collect()
+        let mut late: Vec<(Berth, bool)> = late.map(|(berth, client)| (*berth, client.coming)).collect();
+        // In one order, so that a run can be played again.
+        late.sort();
+        late
     }
 
     /// Those without a request in hand or on its way.
     pub fn idle(&self) -> Vec<Berth> {
         let idle = self.held.iter().filter(|(_, client)| client.asker.is_none() && !client.coming);
-        idle.map(|(berth, _)| *berth).collect()
+        let mut idle: Vec<Berth> = idle.map(|(berth, _)| *berth).collect();
+        idle.sort();
+        idle
     }
 }
--- a/crates/fernknot-sluice/tests/stage/clients.rs
+++ b/crates/fernknot-sluice/tests/stage/clients.rs
@@ -43,7 +43,10 @@
     fn request(&mut self, client: usize) -> (usize, Vec<u8>) {
         let tries = &mut self.clients[client].tries;
         *tries += 1;
-        let attempt = format!("t{client}x{tries}");
+        let tries = *tries;
+        // Now and then an id that is no text, which no node may get.
+        let odd = if self.chance.odds(15) { "\u{e9}" } else { "" };
+        let attempt = format!("t{client}x{tries}{odd}");
         let kind = KINDS[self.chance.under(KINDS.len())];
         let has_body = kind != Kind::Gathered && self.chance.odds(500);
         let body: Vec<u8> = match has_body {
@@ -54,7 +57,11 @@
             true => (0..self.chance.under(300)).map(|_| b'A' + self.chance.under(26) as u8).collect(),
             false => Vec::new(),
         };
-        let method = if has_body { "POST" } else { "GET" };
+        let method = match has_body {
+            true => "POST",
+            false if self.chance.odds(80) => "HEAD",
+            false => "GET",
+        };
         let target = format!("{}{}?q={}", plans::prefix(kind), self.chance.under(9), self.chance.under(99));
         let deadline = if self.chance.odds(100) { 60 + self.chance.under(200) } else { 800 };
         let head = format!(
@@ -62,6 +69,10 @@
             plans::HOST
         );
         let mut bytes = head.into_bytes();
+        if !odd.is_empty() {
+            let latin = bytes.iter().position(|byte| *byte == 0xc3).unwrap_or_default();
+            bytes.splice(latin..latin + 2, [0xe9]);
+        }
         if has_body && self.chance.odds(400) {
             bytes.extend(b"Transfer-Encoding: chunked\r\n\r\n");
             bytes.extend(wire::chunked(&body, 1 + self.chance.under(80)));
@@ -201,7 +212,13 @@
         conn.input.extend(bytes);
         loop {
             let Some(conn) = self.clients[client].conn.as_mut() else { return };
-            let message = match wire::message(&conn.input) {
+            // What belongs to a `HEAD` has no body.
+            let asked = conn.waiting.front().map(|(no, _)| &self.checker.asked[*no]);
+            let read = match asked.is_some_and(|asked| asked.method == "HEAD") {
+                true => wire::bodiless(&conn.input),
+                false => wire::message(&conn.input),
+            };
+            let message = match read {
                 Ok(Some(message)) => message,
                 Ok(None) if conn.waiting.is_empty() && !conn.input.is_empty() => {
                     return self.checker.fault(format!("MIXED: {berth:?} got bytes that it did not ask for"));
