--- a/crates/fernknot-views/src/past.rs
+++ b/crates/fernknot-views/src/past.rs
@@ -135,6 +135,9 @@
         if !self.past.began.covers(mark) {
             self.pulse_soon |= !self.past.condemned;
             self.past.condemned = true;
+            if self.plant == Some(Plant::GivesUpAtOnce) {
+                self.renew();
+            }
             return;
         }
         if self.past.recalls.len() < MOST_PEERS {
@@ -142,8 +145,8 @@
         }
     }
 
-    /// An older copy is given up only for a view that goes on without it. Guards against all giving themselves up for
-    /// each other, where all disks have lost something that they had called synced.
+    /// An older copy is given up only for a view that goes on without it. Guards against few copies or one being left
+    /// while no view goes on, where all disks have lost something that they had called synced.
     pub(crate) fn give_up_copy(&mut self, told: &Pulse) {
         let live = told.echo.0 == self.life;
         if self.past.condemned && live && told.force && told.view >= self.cur.base.view.no {
--- a/crates/fernknot-views/src/types.rs
+++ b/crates/fernknot-views/src/types.rs
@@ -398,6 +398,8 @@
     SequenceAgain,
     /// An older copy of a disk is taken for the disk.
     OldCopyVotes,
+    /// An older copy gives itself up as soon as it hears that it is one.
+    GivesUpAtOnce,
     /// One that joins counts before it has what the view begins with.
     JoinerCounts,
     /// Where a view began is guessed when it is not remembered any more.
--- a/crates/fernknot-views/tests/past.rs
+++ b/crates/fernknot-views/tests/past.rs
@@ -105,35 +105,45 @@
     }
 }
 
+/// Three disks lose some of what they had called synced, and all return. Whether they go on by themselves.
+fn all_older(seed: u64, plant: Option<Plant>) -> (Fleet, bool) {
+    let mut fleet = founded(900 + seed, 3, 1, plant);
+    for at in 0..3 {
+        let writes = fleet.chance.draw(6) as usize;
+        fleet.restore(at, writes);
+    }
+    // What was on the lost writes may be lost; what is taken from here on may not.
+    let newest =
+        fleet.machines.iter().filter_map(|machine| machine.saved.as_ref()).map(|saved| saved.no).max();
+    fleet.taken.clear();
+    fleet.states.retain(|no, _| Some(*no) <= newest.map(|newest| newest.0));
+    (0..3).for_each(|at| fleet.restart(at));
+    let goes_on = fleet.goes_on(6 * SUSPECT).is_some();
+    (fleet, goes_on)
+}
+
+/// As many as say that a view was forced at their order.
+fn force_anywhere(fleet: &mut Fleet) -> usize {
+    let now = fernknot::interface::Nanos(fleet.now);
+    let mut done = 0;
+    for at in 0..fleet.machines.len() {
+        done += fleet.machines[at].views.as_mut().unwrap().force(now, &[]).is_ok() as usize;
+        fleet.serve(at);
+    }
+    done
+}
+
 #[test]
 fn given_all_disks_older_than_was_said_when_all_return_then_none_is_given_up_before_an_operator_forces_a_view()
  {
     let (mut by_themselves, mut forced) = (0, 0);
     for seed in 0..60 * more_seeds() {
-        let mut fleet = founded(900 + seed, 3, 1, None);
-        for at in 0..3 {
-            let writes = fleet.chance.draw(6) as usize;
-            fleet.restore(at, writes);
-        }
-        // What was on the lost writes may be lost; what is taken from here on may not.
-        let newest =
-            fleet.machines.iter().filter_map(|machine| machine.saved.as_ref()).map(|saved| saved.no).max();
-        fleet.taken.clear();
-        fleet.states.retain(|no, _| Some(*no) <= newest.map(|newest| newest.0));
-        (0..3).for_each(|at| fleet.restart(at));
-        if fleet.goes_on(6 * SUSPECT).is_some() {
+        let (mut fleet, goes_on) = all_older(seed, None);
+        if goes_on {
             by_themselves += 1;
         } else {
             assert!(fleet.machines.iter().all(|machine| machine.renewed.is_empty()), "seed {seed}");
-            let now = fernknot::interface::Nanos(fleet.now);
-            let ends: Vec<bool> = (0..3)
-                .map(|at| {
-                    let end = fleet.machines[at].views.as_mut().unwrap().force(now, &[]).is_ok();
-                    fleet.serve(at);
-                    end
-                })
-                .collect();
-            assert_eq!(ends.iter().filter(|end| **end).count(), 1, "seed {seed}: {ends:?}");
+            assert_eq!(force_anywhere(&mut fleet), 1, "seed {seed}");
             assert_matches!(fleet.goes_on(4 * SUSPECT), Some(_), "seed {seed}");
             forced += 1;
         }
@@ -145,6 +155,48 @@
     assert!(by_themselves > 0 && forced > 0);
 }
 
+#[test]
+fn given_older_copies_that_give_themselves_up_at_once_when_no_view_goes_on_then_it_is_found() {
+    let lost = |seed: &u64| {
+        let (fleet, goes_on) = all_older(*seed, Some(Plant::GivesUpAtOnce));
+        !goes_on && fleet.machines.iter().any(|machine| !machine.renewed.is_empty())
+    };
+    let found = (0..20).filter(lost).count();
+    println!("GivesUpAtOnce: found by {found} of 20 seeds");
+    assert!(found > 0);
+}
+
+/// One restarts while all others run: how long until a change is taken with it, and it has delivered it.
+fn one_returns(seed: u64, plant: Option<Plant>) -> u64 {
+    let mut fleet = founded(1500 + seed, 3, 1, plant);
+    let at = seed as usize % 3;
+    fleet.kill(at);
+    fleet.restart(at);
+    let begun = fleet.now;
+    while fleet.now - begun < 4 * SUSPECT {
+        fleet.goes_on(4 * SUSPECT).expect("goes on");
+        if fleet.agree() && fleet.members().len() == 3 {
+            return fleet.now - begun;
+        }
+    }
+    panic!("seed {seed}: it does not come back")
+}
+
+#[test]
+fn given_one_that_restarts_when_all_others_run_then_its_questions_cost_it_no_wait() {
+    let sorted = |plant: Option<Plant>| {
+        let mut took: Vec<u64> = (0..60).map(|seed| one_returns(seed, plant) / MS).collect();
+        took.sort();
+        took
+    };
+    let (asked, before) = (sorted(None), sorted(Some(Plant::OldCopyVotes)));
+    println!(
+        "one returns: {} ms, {} at most; without questions {}, {}",
+        asked[30], asked[59], before[30], before[59]
+    );
+    assert!(asked[30] <= before[30] + 20 && asked[59] <= before[59] + PULSE / MS, "{asked:?} {before:?}");
+}
+
 /// The view of the others begins, and acknowledges; then one of it comes back with the copy from before, and finds
 /// only the one who wasn't there.
 fn back_to_before_the_view(fleet: &mut Fleet) {
