--- a/crates/fernknot-views/src/confirm.rs
+++ b/crates/fernknot-views/src/confirm.rs
@@ -122,6 +122,11 @@
         }
         let view = &self.cur.base.view;
         let Some(delivered) = self.delivered().map(|(no, _)| no) else { return };
+        // Guards against one that was left out and is back: it may hold a change under way, and have delivered nothing
+        // of the view yet. What was taken before the view began lies below its floor.
+        if delivered < floor(&self.cur.base) && self.plant != Some(Plant::ConfirmBelowFloor) {
+            return;
+        }
         if !self.force || self.stopped() || !self.holds() || !is_member(view, &self.facts.me) {
             return;
         }
--- a/crates/fernknot-views/src/types.rs
+++ b/crates/fernknot-views/src/types.rs
@@ -408,4 +408,6 @@
     ConfirmStopped,
     /// An inquiry doesn't wait for what is stored here and not yet known as taken.
     ReadDelivered,
+    /// An inquiry doesn't wait for what the view began with.
+    ConfirmBelowFloor,
 }
--- a/crates/fernknot-views/src/views.rs
+++ b/crates/fernknot-views/src/views.rs
@@ -338,6 +338,10 @@
                 })
         });
         let Some((delivered, _)) = &self.delivered else { return false };
+        // What is delivered may be from before this member was left out, while it holds a change under way.
+        if *delivered < floor(&self.cur.base) {
+            return false;
+        }
         let in_doubt = *delivered < self.cur.no;
         vouching.count() > voters(view).count() / 2 && (!in_doubt || recent(self.unsettled))
     }
--- a/crates/fernknot-views/tests/schedules.rs
+++ b/crates/fernknot-views/tests/schedules.rs
@@ -156,6 +156,37 @@
     }
 }
 
+/// The third was left out, comes back, misses that the view with it is chosen, and gets the whole of it with a change
+/// under way that another has not answered to: of the view it has delivered nothing. All were asked before.
+fn back_with_a_change_under_way(fleet: &mut Fleet) {
+    fleet.cut_off(2);
+    fleet.play(3 * SUSPECT);
+    for _ in 0..3 {
+        fleet.propose_at(0);
+        fleet.play(PULSE);
+    }
+    fleet.cuts.clear();
+    let view = |fleet: &Fleet| fleet.machines[0].views.as_ref().and_then(|v| v.view()).map(|view| view.no);
+    let before = view(fleet);
+    for _ in 0..40_000 {
+        fleet.play(MS / 10);
+        if view(fleet) != before {
+            break;
+        }
+    }
+    let third = fleet.machines[2].addr;
+    fleet.drop_words();
+    fleet.cuts = [0, 1].iter().map(|at| (fleet.machines[*at].addr, third)).collect();
+    fleet.play(20 * MS);
+    fleet.cuts.insert((fleet.machines[1].addr, fleet.machines[0].addr));
+    fleet.propose_at(0);
+    fleet.ask();
+    fleet.play(5 * MS);
+    fleet.cuts = [(fleet.machines[1].addr, fleet.machines[0].addr)].into();
+    fleet.play(2 * PULSE);
+}
+
+#[test_case::test_case(Plant::ConfirmBelowFloor, 3, back_with_a_change_under_way)]
 #[test_case::test_case(Plant::ConfirmAlone, 3, cut_off_and_asked)]
 #[test_case::test_case(Plant::ConfirmStopped, 5, stopped_and_asked)]
 #[test_case::test_case(Plant::OneDisk, 3, ack_on_too_few)]
