--- a/crates/fernknot-headworks/tests/common/mod.rs
+++ b/crates/fernknot-headworks/tests/common/mod.rs
@@ -283,6 +283,16 @@
         ear
     }
 
+    /// A word of an operator at the inner port, and what it is answered.
+    pub fn order(&mut self, at: usize, word: Inward) -> Option<Outward> {
+        self.next += 1;
+        let (ear, now) = (self.next, self.now);
+        self.heard.insert(ear, VecDeque::new());
+        self.brain(at).inward(now, Ear(ear), word);
+        self.follow(at);
+        self.heard.remove(&ear)?.pop_front()
+    }
+
     /// The epochs of the plans that a listener has heard.
     pub fn plans(&self, ear: u64) -> Vec<u64> {
         let plans = self.heard[&ear].iter().filter_map(|word| match word {
--- a/crates/fernknot-sluice/src/news.rs
+++ b/crates/fernknot-sluice/src/news.rs
@@ -309,7 +309,7 @@
                 self.homes.cut(now, &self.cut);
                 self.holder.take(now, self.cut.clone());
             }
-            Outward::Cut(_) | Outward::Answer(_) => {}
+            Outward::Cut(_) | Outward::Answer(_) | Outward::Forced(_) => {}
         }
     }
 
@@ -366,6 +366,10 @@
                 }
             }
             Inward::Ask(question) => news.push(News::Asked { berth, question }),
+            Inward::Force { .. } => {
+                let why = "a gateway is in no view; order it at a registrar";
+                self.tell(ports, berth, &Outward::Forced(Err(why.into())));
+            }
             Inward::Peer(_) => {}
         }
     }
