Promise that nothing ran where a request that ends was never sent

Cause: a request that the module breaks off got 502 or 504 even if its connection to the node never came up.

Change: a request knows whether it went out on a kept connection, and which connections were begun for it and are not known to have failed before they were up. If nothing went out and all of the latter are still opening, these are closed and the answer is 503. A connection that came up and is gone, of which the loop has still to tell, is not opening and gives no promise.

--- a/crates/fernknot-sluice/src/asks.rs
+++ b/crates/fernknot-sluice/src/asks.rs
@@ -60,6 +60,11 @@
     /// The connections that it went over, one for each hand-off. Guards against a late or doubled answer to one
     /// hand-off in the place of the answer to another: both bear the same id, so that only the connection tells.
     pub used: Vec<Berth>,
+    /// It went out on a connection that was up.
+    pub offered: bool,
+    /// Connections begun for it that are not known to have failed before they were up: what was written on one has not
+    /// gone out only while it is still opening.
+    pub opening: Vec<Berth>,
 }
 
 /// What a node's answer is worth.
@@ -169,6 +174,8 @@
             parts: (0..parts).map(|_| None).collect(),
             failure: None,
             used: Vec::new(),
+            offered: false,
+            opening: Vec::new(),
         }
     }
 
--- a/crates/fernknot-sluice/src/gateway.rs
+++ b/crates/fernknot-sluice/src/gateway.rs
@@ -525,6 +525,9 @@
             }
             Order::Abandon { part, no, outcome } => {
                 if let Some(berth) = self.lines.carrier(part, no) {
+                    if ports.is_opening(berth) {
+                        self.never_opened(part, berth);
+                    }
                     self.lines.lost(berth);
                     ports.close(berth);
                 }
--- a/crates/fernknot-sluice/src/gateway/downstream.rs
+++ b/crates/fernknot-sluice/src/gateway/downstream.rs
@@ -167,7 +167,23 @@
         drawn.or(shares.iter().rfind(|(_, weight)| *weight > 0.0)).map_or("", |(name, _)| name)
     }
 
+    /// Whether a request that the module breaks off never went out, and never will. Guards against a 502 or 504 where
+    /// nothing can have run, and against a promise where something may: only a connection that never came up counts
+    /// as one on which nothing was sent, and it is closed before the promise is made.
+    fn withdrawn<P: Ports>(&mut self, now: Nanos, asker: AskerId, verdict: &Verdict, ports: &mut P) -> bool {
+        let Some(ask) = self.asks.get(&asker).filter(|_| *verdict == Verdict::BrokenOff) else {
+            return false;
+        };
+        if ask.offered || !ask.opening.iter().all(|berth| ports.is_opening(*berth)) {
+            return false;
+        }
+        let opening = ask.opening.clone();
+        self.give_up_unopened(now, opening, ports);
+        true
+    }
+
     pub(super) fn answer<P: Ports>(&mut self, now: Nanos, asker: AskerId, verdict: Verdict, ports: &mut P) {
+        let never_sent = self.withdrawn(now, asker, &verdict, ports);
         let Some(ask) = self.asks.remove(&asker) else { return };
         self.by_multiget.remove(&ask.multiget);
         let berth = ask.client;
@@ -176,6 +192,7 @@
         (client.asker, client.since, client.bodiless) = (None, now, false);
         let verdict = match (verdict, self.plant) {
             (Verdict::BrokenOff, Some(Plant::PromiseAfterHandOff)) => Verdict::Dismissed { wait: None },
+            (Verdict::BrokenOff, _) if never_sent => Verdict::Dismissed { wait: None },
             (verdict, _) => verdict,
         };
         let mut merged = Vec::new();
--- a/crates/fernknot-sluice/src/gateway/upstream.rs
+++ b/crates/fernknot-sluice/src/gateway/upstream.rs
@@ -87,13 +87,21 @@
 
     pub(super) fn line_lost<P: Ports>(&mut self, now: Nanos, berth: Berth, outcome: Outcome, ports: &mut P) {
         ports.close(berth);
-        if let Some((part, no)) = self.lines.lost(berth)
-            && let Some(engine) = &mut self.engine
-        {
+        let Some((part, no)) = self.lines.lost(berth) else { return };
+        if outcome == Outcome::Unreachable {
+            self.never_opened(part, berth);
+        }
+        if let Some(engine) = &mut self.engine {
             engine.ended(now, part, no, outcome, LoadReport::default());
         }
     }
 
+    /// A connection that was begun for this part never came up, and is closed.
+    pub(super) fn never_opened(&mut self, part: PartId, berth: Berth) {
+        let ask = self.by_multiget.get(&part.of).and_then(|asker| self.asks.get_mut(asker));
+        ask.into_iter().for_each(|ask| ask.opening.retain(|opening| *opening != berth));
+    }
+
     pub(super) fn line_came<P: Ports>(&mut self, now: Nanos, berth: Berth, ended: bool, ports: &mut P) {
         let Some(input) = ports.input(berth) else { return };
         match self.lines.read(berth, input, ended, &self.limits) {
@@ -189,12 +197,14 @@
         let berth = match idle.filter(|berth| ports.is_open(*berth)) {
             Some(berth) => {
                 self.lines.carry(berth, part, no);
+                ask.offered = true;
                 berth
             }
             None => {
                 let berth = ports.connect(place.addr).map_err(|_| Outcome::Unreachable)?;
                 self.counters.lines_opened += 1;
                 self.lines.add(now, berth, node, part, no);
+                ask.opening.push(berth);
                 berth
             }
         };
--- a/crates/fernknot-sluice/tests/stories/mod.rs
+++ b/crates/fernknot-sluice/tests/stories/mod.rs
@@ -10,6 +10,7 @@
 use fernknot_registry::{NodeFact, NodeState};
 use fernknot_sluice::{Doors, Gateway};
 
+mod offers;
 mod resting;
 
 const NODE: &str = "10.128.0.1:8080";
