Use a node's whole answer although a reset or the end comes in the same read

Cause: the loop of sockets dropped what had come when a connection went, so that a whole answer with a reset behind it counted as broken. Read by read it found a second fault: a short read ended the reading, and an end or a reset that the system had told together with the bytes was never told at all, as each is told once. A connection that the node had closed with its answer then waited as an idle one for the next request.

Change: the loop remembers that the system told the end, and reads on until it meets it; what had come over a connection that went can be taken during the turn that tells so (Ports::take_rest). The gateway reads an answer from it by its length or its chunks; one that only the connection's end would end stays broken, and the connection serves no further. The stage plays whole answers with a reset behind them, and its list of what has to have happened grows by that.

--- a/crates/fernknot-penstock/src/dock.rs
+++ b/crates/fernknot-penstock/src/dock.rs
@@ -58,6 +58,8 @@
     peer: SocketAddrV4,
     open: bool,
     ended: bool,
+    /// The other side has ended or reset it: what is left to read ends with that.
+    hung: bool,
     input: Buffer,
     output: Buffer,
     /// Close once the output is written.
@@ -79,6 +81,8 @@
     more: BTreeSet<Berth>,
     /// Listening sockets that were left unaccepted for want of room.
     held_back: BTreeSet<Berth>,
+    /// What had come over connections whose `Gone` the last turn told.
+    rests: HashMap<Berth, Buffer>,
     waker: Arc<Waker>,
 }
 
@@ -112,6 +116,7 @@
             dirty: BTreeSet::new(),
             more: BTreeSet::new(),
             held_back: BTreeSet::new(),
+            rests: HashMap::new(),
             waker,
         })
     }
@@ -218,6 +223,7 @@
             peer,
             open,
             ended: false,
+            hung: false,
             input: Buffer::default(),
             output: Buffer::default(),
             closing: false,
@@ -245,6 +251,11 @@
         self.links.get_mut(&berth).map(|link| &mut link.input)
     }
 
+    /// What had come and was not consumed over a connection whose `Gone` the last turn told; once.
+    pub fn take_rest(&mut self, berth: Berth) -> Option<Buffer> {
+        self.rests.remove(&berth)
+    }
+
     /// Where to write; it goes out at the end of the turn.
     pub fn output(&mut self, berth: Berth) -> Option<&mut Buffer> {
         let link = self.links.get_mut(&berth).filter(|link| !link.closing)?;
@@ -286,6 +297,7 @@
 
     /// Writes what there is, waits for news until `until`, and gives what happened.
     pub fn turn(&mut self, wait: Option<Duration>, news: &mut Vec<Event>) {
+        self.rests.clear();
         self.flush(news);
         // What nobody takes is not read on, and keeps no loop awake.
         let ahead = self.facts.ahead;
@@ -296,12 +308,12 @@
         if self.poll.poll(&mut self.events, wait).is_err() {
             return;
         }
-        let seen: Vec<(u64, bool, bool)> = self
-            .events
-            .iter()
-            .map(|event| (event.token().0 as u64, event.is_readable(), event.is_writable()))
-            .collect();
-        for (token, readable, writable) in seen {
+        let seen = |event: &mio::event::Event| {
+            let hung = event.is_read_closed() || event.is_error();
+            (event.token().0 as u64, event.is_readable(), event.is_writable(), hung)
+        };
+        let seen: Vec<(u64, bool, bool, bool)> = self.events.iter().map(seen).collect();
+        for (token, readable, writable, hung) in seen {
             let berth = Berth(token);
             if token == WAKER.0 as u64 {
                 news.push(Event::Woken);
@@ -313,6 +325,9 @@
                 if writable {
                     self.writable(berth, news);
                 }
+                if hung && let Some(link) = self.links.get_mut(&berth) {
+                    link.hung = true;
+                }
                 if readable {
                     self.read(berth, news);
                 }
@@ -352,10 +367,14 @@
     }
 
     fn gone(&mut self, berth: Berth, step: &'static str, why: std::io::Error, news: &mut Vec<Event>) {
-        let Some(link) = self.links.get(&berth) else { return };
+        let Some(link) = self.links.get_mut(&berth) else { return };
         let (opened, peer, told) = (link.open, link.peer, !link.closing);
+        let rest = std::mem::take(&mut link.input);
         self.close(berth);
         if told {
+            if !rest.is_empty() {
+                self.rests.insert(berth, rest);
+            }
             news.push(Event::Gone { berth, opened, why: NetError { step, peer, why } });
         }
     }
@@ -426,8 +445,9 @@
                 Ok(count) => {
                     link.input.filled(count);
                     came = true;
-                    // A short read has emptied the socket; what comes later is told anew.
-                    if count < size {
+                    // A short read has emptied the socket; what comes later is told anew. Guards against an end or a
+                    // reset that came with the bytes, of which nothing more is told.
+                    if count < size && !link.hung {
                         break;
                     }
                 }
--- a/crates/fernknot-penstock/src/ports.rs
+++ b/crates/fernknot-penstock/src/ports.rs
@@ -23,6 +23,9 @@
     /// What came and is not yet consumed.
     fn input(&mut self, berth: Berth) -> Option<&mut Buffer>;
 
+    /// What had come and was not consumed over a connection whose `Gone` this turn tells; once.
+    fn take_rest(&mut self, berth: Berth) -> Option<Buffer>;
+
     /// Where to write; none once the connection closes.
     fn output(&mut self, berth: Berth) -> Option<&mut Buffer>;
 
@@ -59,6 +62,10 @@
         Dock::input(self, berth)
     }
 
+    fn take_rest(&mut self, berth: Berth) -> Option<Buffer> {
+        Dock::take_rest(self, berth)
+    }
+
     fn output(&mut self, berth: Berth) -> Option<&mut Buffer> {
         Dock::output(self, berth)
     }
--- a/crates/fernknot-sluice/src/gateway.rs
+++ b/crates/fernknot-sluice/src/gateway.rs
@@ -288,6 +288,7 @@
             Event::Gone { berth, opened, why } => {
                 if self.lines.is_line(berth) {
                     log::debug!(target: "line", "{why}");
+                    self.line_rest(now, berth, ports);
                     let may_have_run = opened && self.plant != Some(Plant::AgainAfterReset);
                     let outcome = if may_have_run { Outcome::Broken } else { Outcome::Unreachable };
                     self.line_lost(now, berth, outcome, ports);
--- a/crates/fernknot-sluice/src/gateway/upstream.rs
+++ b/crates/fernknot-sluice/src/gateway/upstream.rs
@@ -116,6 +116,14 @@
         }
     }
 
+    /// Takes the answer that had come whole when a connection went.
+    pub(super) fn line_rest<P: Ports>(&mut self, now: Nanos, berth: Berth, ports: &mut P) {
+        let Some(rest) = ports.take_rest(berth) else { return };
+        if let Heard::Answer { part, no, node, response } = self.lines.read_rest(berth, rest, &self.limits) {
+            self.answered(now, berth, (part, no), node, response, ports);
+        }
+    }
+
     fn answered<P: Ports>(
         &mut self,
         now: Nanos,
--- a/crates/fernknot-sluice/src/lines.rs
+++ b/crates/fernknot-sluice/src/lines.rs
@@ -210,6 +210,16 @@
         }
     }
 
+    /// A line that is gone: a whole answer that had come before. Guards against one that is whole and thrown away, and
+    /// against taking the connection's end for an answer's. The line serves no further.
+    pub fn read_rest(&mut self, berth: Berth, mut rest: Buffer, limits: &Limits) -> Heard {
+        let Some(line) = self.lines.get_mut(&berth).filter(|line| line.carries.is_some()) else {
+            return Heard::Nothing;
+        };
+        line.spent = true;
+        self.read(berth, &mut rest, false, limits)
+    }
+
     /// After an answer: the line waits for the next hand-off until then, or is to be closed.
     pub fn rest(&mut self, berth: Berth, until: Nanos) -> bool {
         let Some(line) = self.lines.get_mut(&berth) else { return false };
--- a/crates/fernknot-sluice/tests/callers.rs
+++ b/crates/fernknot-sluice/tests/callers.rs
@@ -18,7 +18,7 @@
 const WITHIN: u64 = 10;
 
 /// What has to have happened over all seeds.
-const HAPPENS: [&str; 23] = [
+const HAPPENS: [&str; 24] = [
     "successes",
     "promises",
     "told 408",
@@ -34,6 +34,7 @@
     "surplus answers",
     "earlier answers again",
     "connections broken by nodes",
+    "whole answers before a reset",
     "restarts of nodes",
     "crashes told in one turn",
     "changes",
--- a/crates/fernknot-sluice/tests/stage/mod.rs
+++ b/crates/fernknot-sluice/tests/stage/mod.rs
@@ -317,6 +317,7 @@
         let clock = self.clock();
         let Some(gateway) = &mut self.gateway else { return };
         gateway.turn(clock, self.events.drain(..), &mut self.ports);
+        self.ports.rests.clear();
         gateway.wants_seeds();
         let is_out = gateway.is_out(clock, &mut self.ports);
         let due = self.born + gateway.due();
@@ -334,6 +335,7 @@
         self.gateway = None;
         (self.version, self.settled) = (None, None);
         self.events.clear();
+        self.ports.rests.clear();
         let links: Vec<Berth> = std::mem::take(&mut self.ports.links).into_keys().collect();
         links.into_iter().for_each(|berth| self.sees_end(berth));
         self.ports.dirty.clear();
@@ -491,8 +493,9 @@
             Arrival::Fin => self.events.push(Event::Ended { berth }),
             Arrival::Reset => {
                 let (opened, closing) = (link.open, link.closing);
-                self.ports.links.remove(&berth);
+                let rest = self.ports.links.remove(&berth).map(|link| link.input).unwrap_or_default();
                 if !closing {
+                    self.ports.rests.insert(berth, rest);
                     let why = lost("read from", ErrorKind::ConnectionReset);
                     self.events.push(Event::Gone { berth, opened, why });
                 }
--- a/crates/fernknot-sluice/tests/stage/nodes.rs
+++ b/crates/fernknot-sluice/tests/stage/nodes.rs
@@ -234,6 +234,14 @@
                 self.ends_conn(host, berth);
             }
             94..96 => self.node_says(host, berth, b"no answer at all\r\n\r\n".to_vec(), None),
+            // Whole, and a reset right behind it.
+            96..98 => {
+                issue(200);
+                self.checker.seen.add("whole answers before a reset");
+                self.sends(berth, wire::answer(200, &sealed, &body), None);
+                self.hosts[host].conns.remove(&berth);
+                self.arrives(berth, Nanos(0), Arrival::Reset);
+            }
             _ => self.ends_conn(host, berth),
         }
     }
--- a/crates/fernknot-sluice/tests/stage/ports.rs
+++ b/crates/fernknot-sluice/tests/stage/ports.rs
@@ -54,6 +54,8 @@
     pub links: BTreeMap<Berth, Link>,
     pub dirty: BTreeSet<Berth>,
     pub did: Vec<Did>,
+    /// What had come over connections that were reset.
+    pub rests: BTreeMap<Berth, Buffer>,
     /// No connection can be begun.
     pub full: bool,
 }
@@ -94,6 +96,10 @@
         self.links.get_mut(&berth).map(|link| &mut link.input)
     }
 
+    fn take_rest(&mut self, berth: Berth) -> Option<Buffer> {
+        self.rests.remove(&berth)
+    }
+
     fn output(&mut self, berth: Berth) -> Option<&mut Buffer> {
         let link = self.links.get_mut(&berth).filter(|link| !link.closing)?;
         self.dirty.insert(berth);
--- a/crates/fernknot-sluice/tests/stories/mod.rs
+++ b/crates/fernknot-sluice/tests/stories/mod.rs
@@ -6,11 +6,12 @@
 use fernknot_conduit::{Outward, Registrar, push};
 use fernknot_duties::Cut;
 use fernknot_intake::{Class, ClientLimits, Plan, Route, Service, Target};
-use fernknot_penstock::{Berth, Event};
+use fernknot_penstock::{Berth, Event, NetError};
 use fernknot_registry::{NodeFact, NodeState};
 use fernknot_sluice::{Doors, Gateway};
 
 mod offers;
+mod resets;
 mod resting;
 
 const NODE: &str = "10.128.0.1:8080";
@@ -136,6 +137,17 @@
         self.turn(vec![Event::Came { berth }]);
     }
 
+    /// Bytes and a reset come on a connection, and both are told in one turn.
+    pub fn comes_and_resets(&mut self, berth: Berth, text: &str) {
+        let mut rest = self.ports.links.remove(&berth).unwrap().input;
+        rest.push(text.as_bytes());
+        self.ports.rests.insert(berth, rest);
+        let (peer, why) = (NODE.parse().unwrap(), std::io::ErrorKind::ConnectionReset.into());
+        let why = NetError { step: "read from", peer, why };
+        self.turn(vec![Event::Came { berth }, Event::Gone { berth, opened: true, why }]);
+        self.ports.rests.clear();
+    }
+
     /// What the gateway has written on a connection since the last call.
     pub fn got(&mut self, berth: Berth) -> String {
         let Some(link) = self.ports.links.get_mut(&berth) else { return String::new() };
