Tell the module that a node is gone when the list drops it without a word

Cause: a life that no well teller names for ten beats is dropped from the gateway's list, but what the module was told of it was compared only with lives that the list still holds. The module kept sending to it, and its number was kept for ever; so was that of each life that had been lost.

Change: what the module was told stands by service; what a changed service does not list any more is told as gone and forgotten.

--- a/crates/fernknot-sluice/src/gateway.rs
+++ b/crates/fernknot-sluice/src/gateway.rs
@@ -19,7 +19,7 @@
 use fernknot_overlay::{Descriptor, Role};
 use fernknot_penstock::{Berth, Event, Ports};
 use fernknot_registry::{NodeFact, Pool, PoolBounds};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -91,7 +91,8 @@
     lines: Lines,
     names: Names,
     pool: Pool,
-    nodes: HashMap<String, (NodeId, Health)>,
+    /// What the module was told of the lives of each service.
+    nodes: HashMap<ShardId, BTreeMap<String, (NodeId, Health)>>,
     next_node: u32,
     pinned: Option<Rc<Pinned>>,
     mains: Mains,
@@ -448,7 +449,7 @@
                     must_ask: false,
                     peers: false,
                     by_work: false,
-                    zone: Some(self.zone(&self.facts.zone.clone())),
+                    zone: Some(zone_of(&self.facts, &self.facts.zone)),
                     // What a client waits for tells when it first asked, but a late answer still earns something.
                     marks_repeats: true,
                     // One that is refused twice costs a third of its worth, and a late answer earns as much.
@@ -469,10 +470,6 @@
         Nanos::from_millis(held.unwrap_or(ClientLimits::default().idle_ms) as f64)
     }
 
-    fn zone(&self, name: &str) -> ZoneId {
-        let place = self.facts.zones.keys().position(|zone| zone == name);
-        ZoneId(place.map_or(u32::MAX, |place| place as u32))
-    }
     fn count(&self, now: Nanos) -> String {
         let counters = &self.counters;
         let mut text = format!(
@@ -488,7 +485,7 @@
             counters.strangers,
             self.asks.len(),
             self.lines.len(),
-            self.nodes.len(),
+            self.nodes.values().map(BTreeMap::len).sum::<usize>(),
             self.pinned.as_ref().map_or(0, |pinned| pinned.plan.epoch),
         );
         let old = Nanos::from_millis(self.facts.bounds.drain_cutoff_ms);
@@ -591,6 +588,12 @@
     }
 }
 
+/// The module's number for a zone.
+fn zone_of(facts: &ProcessFacts, name: &str) -> ZoneId {
+    let place = facts.zones.keys().position(|zone| zone == name);
+    ZoneId(place.map_or(u32::MAX, |place| place as u32))
+}
+
 /// Connections that a gateway with these settings may have at once, of all kinds.
 pub fn links(facts: &ProcessFacts) -> usize {
     (facts.limits.fd_limit as usize).saturating_sub(RESERVE).max(64)
--- a/crates/fernknot-sluice/src/gateway/upstream.rs
+++ b/crates/fernknot-sluice/src/gateway/upstream.rs
@@ -1,12 +1,13 @@
 //! The nodes' side of a gateway: which nodes there are, what is handed to them, and what comes back.
 
-use super::{Gateway, Plant};
+use super::{Gateway, Plant, zone_of};
 use crate::asks::{Verdict, judge, wire};
 use crate::lines::Heard;
 use fernknot::interface::*;
 use fernknot_penstock::{Berth, Ports};
 use fernknot_protocol::http::Response;
 use fernknot_registry::{NodeFact, NodeState};
+use std::collections::BTreeMap;
 
 impl Gateway {
     pub(super) fn relist_all<P: Ports>(&mut self, now: Nanos, ports: &mut P) {
@@ -32,13 +33,14 @@
             if let Some(engine) = &mut self.engine {
                 engine.group(PlaceId(shard.0), self.names.group(shard));
             }
+            let told = self.nodes.entry(shard).or_default();
             for fact in self.pool.of(&service) {
                 let health = match fact.state {
                     NodeState::Ready => Health::Running,
                     NodeState::Draining => Health::Draining,
                     NodeState::Lost | NodeState::Gone => Health::Gone,
                 };
-                let known = self.nodes.get(&fact.id).copied();
+                let known = told.get(&fact.id).copied();
                 if known.is_none() && health == Health::Gone || known.is_some_and(|(_, was)| was == health) {
                     continue;
                 }
@@ -47,20 +49,34 @@
                 if health == Health::Gone {
                     close.extend(self.lines.forget(node));
                     if fact.state == NodeState::Gone {
-                        self.nodes.remove(&fact.id);
+                        told.remove(&fact.id);
                     } else {
-                        self.nodes.insert(fact.id.clone(), (node, health));
+                        told.insert(fact.id.clone(), (node, health));
                     }
                 } else {
-                    self.nodes.insert(fact.id.clone(), (node, health));
+                    told.insert(fact.id.clone(), (node, health));
                     self.lines.know(node, &fact.id, fact.addr);
                 }
                 if health != Health::Running {
                     leaving.push(node);
                 }
-                let zone = Some(self.zone(&fact.zone));
+                let zone = Some(zone_of(&self.facts, &fact.zone));
                 entries.push(NodeEntry { node, place: PlaceId(shard.0), zone, health, since: Nanos(0) });
             }
+            // Guards against nodes that the list has dropped without a word that they are gone: no well teller names
+            // them, and nothing further may be sent to them.
+            let pool = &self.pool;
+            let is_held = |id: &str| pool.get(id).is_some_and(|fact| fact.service == service);
+            let dropped = told.extract_if(.., |id, _| !is_held(id)).map(|(_, known)| known);
+            for (node, _) in dropped.filter(|(_, health)| *health != Health::Gone) {
+                close.extend(self.lines.forget(node));
+                leaving.push(node);
+                let (place, health) = (PlaceId(shard.0), Health::Gone);
+                entries.push(NodeEntry { node, place, zone: None, health, since: Nanos(0) });
+            }
+            if told.is_empty() {
+                self.nodes.remove(&shard);
+            }
         }
         close.into_iter().for_each(|berth| ports.close(berth));
         // What has not gone out by now may not reach a node that leaves: the connection may take seconds.
@@ -69,7 +85,8 @@
             self.give_up_unopened(now, waiting, ports);
         }
         if let Some(engine) = self.engine.as_mut().filter(|_| !entries.is_empty()) {
-            log::info!(target: "nodes", "{} changes, {} known", entries.len(), self.nodes.len());
+            let known: usize = self.nodes.values().map(BTreeMap::len).sum();
+            log::info!(target: "nodes", "{} changes, {known} known", entries.len());
             engine.list(ListKind::Changes, &entries);
         }
     }
--- a/crates/fernknot-sluice/tests/stories/mod.rs
+++ b/crates/fernknot-sluice/tests/stories/mod.rs
@@ -10,6 +10,7 @@
 use fernknot_registry::{NodeFact, NodeState};
 use fernknot_sluice::{Doors, Gateway};
 
+mod names;
 mod offers;
 mod resets;
 mod resting;
@@ -17,6 +18,7 @@
 const NODE: &str = "10.128.0.1:8080";
 /// A turn of the host's loop at the latest.
 const TURN: Nanos = Nanos(10_000_000);
+const PULSE: Nanos = Nanos(100_000_000);
 
 pub struct Story {
     now: Nanos,
@@ -63,27 +65,46 @@
         let registrar = Berth(0);
         let mut story = Story { now: Nanos(0), gateway, ports, doors, registrar, lines, closed, order: 0 };
         story.turn(Vec::new());
-        let addr = REGISTRAR.parse().unwrap();
-        let registrar = Registrar { addr, zone: "north".into() };
-        let node = NodeFact {
-            id: "i-1".into(),
-            service: "lone".into(),
-            addr: NODE.parse().unwrap(),
-            zone: "north".into(),
-            state: NodeState::Ready,
-            capacity: 8,
-            warm_left_ms: 0,
-            seq: 1,
-        };
         story.tells(&Outward::Cut(Cut::default()));
-        story.tells(&Outward::Nodes(vec![node]));
+        story.tells(&Outward::Nodes(vec![node("lone", NodeState::Ready)]));
         story.takes(plan);
         story.tells(&Outward::Whole);
-        let registrars = vec![registrar];
-        story.tells(&Outward::Pulse { teller: 1, order: 1, lease: true, hops: 0, fence: 0, registrars });
+        story.pulses();
         story
     }
 
+    /// The registrar is well, and says so.
+    pub fn pulses(&mut self) {
+        let addr = REGISTRAR.parse().unwrap();
+        let registrars = vec![Registrar { addr, zone: "north".into() }];
+        let order = self.order;
+        self.tells(&Outward::Pulse { teller: 1, order, lease: true, hops: 0, fence: 0, registrars });
+    }
+
+    /// Time goes by under pulses.
+    pub fn waits_well(&mut self, span: Nanos) {
+        let end = self.now + span;
+        while self.now < end {
+            self.waits(PULSE);
+            self.pulses();
+        }
+    }
+
+    /// The stream of the registrar breaks, and it tells anew all that it knows of nodes.
+    pub fn hears_anew(&mut self, nodes: Vec<NodeFact>) {
+        let berth = self.registrar;
+        self.ports.links.remove(&berth);
+        let (peer, why) = (REGISTRAR.parse().unwrap(), std::io::ErrorKind::ConnectionReset.into());
+        let why = NetError { step: "read from", peer, why };
+        self.turn(vec![Event::Gone { berth, opened: true, why }]);
+        while self.registrar == berth {
+            self.waits(TURN);
+        }
+        self.tells(&Outward::Nodes(nodes));
+        self.tells(&Outward::Whole);
+        self.pulses();
+    }
+
     /// The registrar says this.
     pub fn tells(&mut self, word: &Outward) {
         push(&mut self.ports.links.get_mut(&self.registrar).unwrap().input, word);
@@ -170,6 +191,20 @@
     }
 }
 
+/// The one node, as it is told.
+pub fn node(service: &str, state: NodeState) -> NodeFact {
+    NodeFact {
+        id: format!("i-{service}"),
+        service: service.into(),
+        addr: NODE.parse().unwrap(),
+        zone: "north".into(),
+        state,
+        capacity: 8,
+        warm_left_ms: 0,
+        seq: 1 + u64::from(state != NodeState::Ready),
+    }
+}
+
 /// A request that may run once at most, with what its client will wait.
 pub fn request(id: &str, deadline_ms: u64) -> String {
     format!("GET /m/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\n\r\n")
