Give up the numbers of services that nothing names any more

Change: once in two contact_ms, services are looked through. One that neither the version in force names, nor one under which a request in hand was taken, and of which the list (and so the module) knows no node, loses its number after two retry windows, for that long its spending may count. Numbers are never used again: a service that comes back gets another, so that nothing the module still knows can pass for it; the module drops by itself what it knows of places without nodes. src/decide is as it was. /-/counters shows how many services have a number.

--- a/crates/fernknot-sluice/src/gateway.rs
+++ b/crates/fernknot-sluice/src/gateway.rs
@@ -19,7 +19,7 @@
 use fernknot_overlay::{Descriptor, Role};
 use fernknot_penstock::{Berth, Event, Ports};
 use fernknot_registry::{NodeFact, Pool, PoolBounds};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -31,6 +31,8 @@
 const AWAY: f64 = 1.0 / 6.0;
 /// Views are shuffled once in so many times `contact_ms`.
 const SHUFFLE: f64 = 2.0;
+/// Names of services are looked through once in so many times `contact_ms`.
+const NAMES: f64 = 2.0;
 /// A connection to a node that is not up by this share of `drain_cutoff_ms` is given up.
 const OPENS: f64 = 0.25;
 /// The readiness calls that the platform may need to hear that a gateway leaves, with a little more.
@@ -103,6 +105,7 @@
     line_idle: Nanos,
     stopping: Option<Nanos>,
     tidy_at: Nanos,
+    names_at: Nanos,
     turned: Nanos,
     reread_at: Nanos,
     wants_seeds: bool,
@@ -185,6 +188,7 @@
             line_idle: Nanos::from_millis(4000.0),
             stopping: None,
             tidy_at: Nanos(0),
+            names_at: Nanos(0),
             turned: Nanos(0),
             reread_at: Nanos(0),
             wants_seeds: false,
@@ -474,7 +478,7 @@
         let counters = &self.counters;
         let mut text = format!(
             "requests {}\nunrouted {}\nunplanned {}\nbad {}\nstrays {}\nspoilt {}\nlines_opened {}\nstrangers {}\n\
-             in_hand {}\nlines {}\nnodes {}\nversion {}\n",
+             in_hand {}\nlines {}\nnodes {}\nservices {}\nversion {}\n",
             counters.requests,
             counters.unrouted,
             counters.unplanned,
@@ -486,6 +490,7 @@
             self.asks.len(),
             self.lines.len(),
             self.nodes.values().map(BTreeMap::len).sum::<usize>(),
+            self.names.services(),
             self.pinned.as_ref().map_or(0, |pinned| pinned.plan.epoch),
         );
         let old = Nanos::from_millis(self.facts.bounds.drain_cutoff_ms);
@@ -585,6 +590,24 @@
         }
         self.pool.expire(now);
         self.relist(now, ports);
+        if now >= self.names_at {
+            self.names_at = now + Nanos::from_millis(self.facts.bounds.contact_ms).times(NAMES);
+            self.give_up_names(now);
+        }
+    }
+
+    /// Gives up the numbers of services that no version names which is in force or which a request in hand was taken
+    /// under, and of which neither the list nor the module knows any node.
+    fn give_up_names(&mut self, now: Nanos) {
+        let Some(pinned) = &self.pinned else { return };
+        let mut versions = BTreeMap::from([(pinned.order, pinned)]);
+        self.asks.values().for_each(|ask| _ = versions.entry(ask.pinned.order).or_insert(&ask.pinned));
+        let named = versions.values().flat_map(|pinned| pinned.services());
+        let listed = self.pool.services();
+        let in_use: HashSet<&str> = named.chain(listed).collect();
+        // What was spent on further tries of a service counts by its number, in this window and the one before.
+        let keep = Nanos::from_millis(self.facts.bounds.retry_window_s * 1e3).times(2.0);
+        self.names.give_up(now, keep, |service| in_use.contains(service));
     }
 }
 
--- a/crates/fernknot-sluice/src/routes.rs
+++ b/crates/fernknot-sluice/src/routes.rs
@@ -26,12 +26,25 @@
     pub fn use_case(&self, index: usize) -> UseCaseId {
         self.use_cases[index]
     }
+
+    /// The services that its routes name, some of them more than once.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.plan.routes.iter().flat_map(|route| match &route.to {
+            Target::Backend(service) => vec![service.as_str()],
+            Target::Shares(shares) => shares.iter().map(|(service, _)| service.as_str()).collect(),
+            Target::Fanout { shards, .. } => shards.iter().map(String::as_str).collect(),
+        })
+    }
 }
 
 /// The module's numbers for services and routes, over all versions of the configuration.
 #[derive(Default)]
 pub struct Names {
     shards: HashMap<String, ShardId>,
+    /// Since when the services that have a number and are not in use were seen not to be.
+    unused: HashMap<String, Nanos>,
+    /// Never goes back: a number that was given up is nobody's, so that what the module still knows by it can't pass for
+    /// another service's.
     next_shard: u32,
     /// Of shards that one route gathers from, whose work is alike, the first.
     groups: HashMap<ShardId, u32>,
@@ -88,6 +101,25 @@
         shard
     }
 
+    /// Gives up the numbers of services that have not been in use for so long; one that comes back gets another. Guards
+    /// the memory of a gateway that runs for days against cuts of the index that came and went.
+    pub fn give_up(&mut self, now: Nanos, keep: Nanos, is_in_use: impl Fn(&str) -> bool) {
+        self.unused.retain(|service, _| !is_in_use(service));
+        for service in self.shards.keys().filter(|service| !is_in_use(service)) {
+            self.unused.entry(service.clone()).or_insert(now);
+        }
+        for service in self.unused.extract_if(|_, since| now - *since > keep).map(|(service, _)| service) {
+            self.shards.remove(&service);
+        }
+        let named: HashSet<ShardId> = self.shards.values().copied().collect();
+        self.groups.retain(|shard, _| named.contains(shard));
+    }
+
+    /// Services that have a number.
+    pub fn services(&self) -> usize {
+        self.shards.len()
+    }
+
     /// The group of shards whose work is alike; one that no route gathers from has its own.
     pub fn group(&self, shard: ShardId) -> u32 {
         self.groups.get(&shard).copied().unwrap_or(shard.0 + 1)
--- a/crates/fernknot-sluice/tests/answers.rs
+++ b/crates/fernknot-sluice/tests/answers.rs
@@ -195,6 +195,32 @@
     assert_eq!(first.use_case(0) == second.use_case(0), stays);
 }
 
+#[test]
+fn given_a_service_out_of_use_for_long_when_it_comes_back_then_its_number_is_another() {
+    let mut names = Names::default();
+    let keep = Nanos(100);
+    let first = names.shard("s");
+    names.give_up(Nanos(10), keep, |_| false);
+    names.give_up(Nanos(110), keep, |_| false);
+    assert_eq!(names.shard("s"), first, "a number is kept as long as what is known by it may count");
+    names.give_up(Nanos(111), keep, |service| service != "s");
+    assert_eq!(names.services(), 0);
+    let other = names.shard("t");
+    assert!(![first, other].contains(&names.shard("s")));
+}
+
+#[test]
+fn given_a_service_used_again_in_time_then_its_number_stays() {
+    let mut names = Names::default();
+    let keep = Nanos(100);
+    let first = names.shard("s");
+    names.give_up(Nanos(10), keep, |_| false);
+    names.give_up(Nanos(60), keep, |_| true);
+    names.give_up(Nanos(120), keep, |_| false);
+    names.give_up(Nanos(220), keep, |_| false);
+    assert_eq!(names.shard("s"), first);
+}
+
 #[test]
 fn given_a_version_that_drops_a_route_then_its_number_is_free_only_once_nothing_of_it_is_in_hand() {
     let mut names = Names::default();
--- a/crates/fernknot-sluice/tests/stories/mod.rs
+++ b/crates/fernknot-sluice/tests/stories/mod.rs
@@ -152,6 +152,16 @@
         berth
     }
 
+    /// The platform connects, and sends this.
+    pub fn asks_ready(&mut self, text: &str) -> Berth {
+        let berth = self.ports.name();
+        self.ports.add(berth, true);
+        let peer = "10.9.0.1:999".parse().unwrap();
+        self.turn(vec![Event::Accepted { berth, at: self.doors.ready, peer }]);
+        self.comes(berth, text);
+        berth
+    }
+
     /// Bytes come on a connection.
     pub fn comes(&mut self, berth: Berth, text: &str) {
         self.ports.links.get_mut(&berth).unwrap().input.push(text.as_bytes());
