Bound what clients' bodies take together while they come

Cause: bodies that have come in part were bounded each, not in sum: at 4,100 descriptors and 256 KB a body, slow clients could take several times a gateway's memory.

Change: room kept for bodies in part (the length that a head tells, or what came of chunks) is counted over all clients, and may be an eighth of limits.memory_mb; a body that the version in force allows may always come where it is alone. The client whose bytes go beyond gets 503 with Retry-After, and its connection is closed, before a 100 Continue. What a client kept is counted off wherever it goes, since clients are taken off in one place only.

--- a/crates/fernknot-protocol/src/http.rs
+++ b/crates/fernknot-protocol/src/http.rs
@@ -55,6 +55,11 @@
         self.open.is_some()
     }
 
+    /// Bytes kept for a body that has not all come: those that came, and room for the length that its head told.
+    pub fn kept(&self) -> usize {
+        self.open.as_ref().map_or(0, |(request, _)| request.body.capacity())
+    }
+
     /// Whether the client waits for leave to send its body; says so once.
     pub fn wants_leave(&mut self) -> bool {
         self.open.as_mut().is_some_and(|(request, _)| std::mem::take(&mut request.expects))
--- a/crates/fernknot-sluice/src/clients.rs
+++ b/crates/fernknot-sluice/src/clients.rs
@@ -30,6 +30,8 @@
     pub ended: bool,
     /// How long it may rest by what it was told last, or by the version in force when it came.
     pub rests: Nanos,
+    /// Bytes kept for its body that has come in part, as last counted.
+    in_part: usize,
 }
 
 impl Client {
@@ -46,6 +48,7 @@
             coming: false,
             ended: false,
             rests,
+            in_part: 0,
         }
     }
 
@@ -58,10 +61,42 @@
 
 #[derive(Default)]
 pub struct Clients {
-    pub held: HashMap<Berth, Client>,
+    held: HashMap<Berth, Client>,
+    /// Bytes kept for bodies that have come in part, of all together.
+    in_part: usize,
 }
 
 impl Clients {
+    pub fn add(&mut self, berth: Berth, client: Client) {
+        self.remove(berth);
+        self.held.insert(berth, client);
+    }
+
+    pub fn has(&self, berth: Berth) -> bool {
+        self.held.contains_key(&berth)
+    }
+
+    pub fn get_mut(&mut self, berth: Berth) -> Option<&mut Client> {
+        self.held.get_mut(&berth)
+    }
+
+    pub fn remove(&mut self, berth: Berth) -> Option<Client> {
+        self.held.remove(&berth).inspect(|client| self.in_part -= client.in_part)
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &Client> {
+        self.held.values()
+    }
+
+    /// Counts what a client has sent in part, after its reader has read; what all have sent so comes back, in bytes.
+    pub fn count_in_part(&mut self, berth: Berth) -> usize {
+        if let Some(client) = self.held.get_mut(&berth) {
+            let before = std::mem::replace(&mut client.in_part, client.reader.kept());
+            self.in_part = self.in_part - before + client.in_part;
+        }
+        self.in_part
+    }
+
     /// Those that have been idle, or sending one request, for too long. Guards what a client was told against a
     /// version that came since and lets connections rest for a shorter time.
     pub fn overdue(&self, now: Nanos, idle: Nanos, sending: Nanos) -> Vec<(Berth, bool)> {
--- a/crates/fernknot-sluice/src/gateway.rs
+++ b/crates/fernknot-sluice/src/gateway.rs
@@ -35,6 +35,8 @@
 const NAMES: f64 = 2.0;
 /// A connection to a node that is not up by this share of `drain_cutoff_ms` is given up.
 const OPENS: f64 = 0.25;
+/// The part of the memory that bodies of clients may take while they come.
+const BODIES: f64 = 1.0 / 8.0;
 /// The readiness calls that the platform may need to hear that a gateway leaves, with a little more.
 const UNREADY: Nanos = Nanos(2_600_000_000);
 
@@ -119,6 +121,7 @@
     unrouted: u64,
     unplanned: u64,
     bad: u64,
+    crowded: u64,
     strays: u64,
     spoilt: u64,
     lines_opened: u64,
@@ -258,10 +261,10 @@
         }
         ports.stop_listening(self.doors.front);
         for berth in self.clients.idle() {
-            self.clients.held.remove(&berth);
+            self.clients.remove(berth);
             ports.close(berth);
         }
-        self.asks.is_empty() && self.clients.held.values().all(|client| client.door == Door::Ready)
+        self.asks.is_empty() && self.clients.all().all(|client| client.door == Door::Ready)
     }
 
     fn is_ready(&self) -> bool {
@@ -275,12 +278,12 @@
                 let door = if at == self.doors.front { Door::Front } else { Door::Ready };
                 debug_assert!(at == self.doors.front || at == self.doors.ready);
                 let client = Client::new(door, now, self.idle());
-                self.clients.held.insert(berth, client);
+                self.clients.add(berth, client);
             }
             Event::Opened { .. } => {}
             Event::Came { berth } => self.came(now, berth, false, ports),
             Event::Ended { berth } => {
-                if self.clients.held.contains_key(&berth) {
+                if self.clients.has(berth) {
                     self.client_gone(now, berth, ports);
                 } else {
                     self.came(now, berth, true, ports);
@@ -468,6 +471,13 @@
         self.relist_all(now, ports);
     }
 
+    /// Bytes that bodies of all clients together may take while they come; one that the version in force allows always
+    /// may.
+    fn most_in_part(&self) -> usize {
+        let most = (self.facts.limits.memory_mb * f64::from(1 << 20) * BODIES) as usize;
+        most.max(self.limits.body)
+    }
+
     /// How long connections of clients may rest by the version in force.
     fn idle(&self) -> Nanos {
         let held = self.pinned.as_ref().map(|pinned| pinned.plan.limits.idle_ms);
@@ -477,12 +487,13 @@
     fn count(&self, now: Nanos) -> String {
         let counters = &self.counters;
         let mut text = format!(
-            "requests {}\nunrouted {}\nunplanned {}\nbad {}\nstrays {}\nspoilt {}\nlines_opened {}\nstrangers {}\n\
+            "requests {}\nunrouted {}\nunplanned {}\nbad {}\ncrowded {}\nstrays {}\nspoilt {}\nlines_opened {}\nstrangers {}\n\
              in_hand {}\nlines {}\nnodes {}\nservices {}\nversion {}\n",
             counters.requests,
             counters.unrouted,
             counters.unplanned,
             counters.bad,
+            counters.crowded,
             counters.strays,
             counters.spoilt,
             counters.lines_opened,
@@ -566,12 +577,12 @@
         let sending = Nanos::from_millis(header_ms as f64).times(2.0);
         for (berth, coming) in self.clients.overdue(now, self.idle(), sending) {
             if coming {
-                if let Some(client) = self.clients.held.get_mut(&berth) {
+                if let Some(client) = self.clients.get_mut(berth) {
                     client.keep = false;
                 }
                 self.say(now, berth, 408, None, b"the request did not come whole in time\n", ports);
             } else {
-                self.clients.held.remove(&berth);
+                self.clients.remove(berth);
                 ports.close(berth);
             }
         }
--- a/crates/fernknot-sluice/src/gateway/downstream.rs
+++ b/crates/fernknot-sluice/src/gateway/downstream.rs
@@ -14,7 +14,7 @@
 impl Gateway {
     pub(super) fn client_gone<P: Ports>(&mut self, now: Nanos, berth: Berth, ports: &mut P) {
         ports.close(berth);
-        let Some(client) = self.clients.held.remove(&berth) else { return };
+        let Some(client) = self.clients.remove(berth) else { return };
         let Some(ask) = client.asker.and_then(|asker| self.asks.remove(&asker)) else { return };
         self.by_multiget.remove(&ask.multiget);
         if let Some(engine) = &mut self.engine {
@@ -24,14 +24,26 @@
 
     pub(super) fn client_came<P: Ports>(&mut self, now: Nanos, berth: Berth, ports: &mut P) {
         loop {
-            let Some(client) = self.clients.held.get_mut(&berth) else { return };
+            let Some(client) = self.clients.get_mut(berth) else { return };
             // One after the other: what comes behind a request waits for its answer.
             if client.asker.is_some() && self.plant != Some(Plant::PipelinedAtOnce) {
                 return;
             }
             let Some(input) = ports.input(berth) else { return };
-            let request = match client.reader.read(input, &self.limits) {
+            let read = client.reader.read(input, &self.limits);
+            let in_part = self.clients.count_in_part(berth);
+            let most = self.most_in_part();
+            let Some(client) = self.clients.get_mut(berth) else { return };
+            let Some(input) = ports.input(berth) else { return };
+            let request = match read {
                 Ok(Some(request)) => request,
+                // Guards the memory against many clients that each send a body as large as one may be, and slowly.
+                Ok(None) if in_part > most => {
+                    self.counters.crowded += 1;
+                    client.keep = false;
+                    let wait = Some(FIRST_WAIT.as_millis() / 1e3);
+                    return self.say(now, berth, 503, wait, b"too much is coming at once\n", ports);
+                }
                 Ok(None) => {
                     let coming = client.reader.is_open() || !input.is_empty();
                     if coming && !client.coming {
@@ -73,7 +85,7 @@
         body: &[u8],
         ports: &mut P,
     ) {
-        let Some(client) = self.clients.held.get_mut(&berth) else { return };
+        let Some(client) = self.clients.get_mut(berth) else { return };
         let keep = client.keep && self.stopping.is_none();
         let answer = Answer { status, kind: "text/plain", wait, keep, old: client.old };
         (client.asker, client.since) = (None, now);
@@ -84,7 +96,7 @@
             out.truncate(out.len() - if bodiless { body.len() } else { 0 });
         }
         if !keep {
-            self.clients.held.remove(&berth);
+            self.clients.remove(berth);
             ports.close_after(berth);
         }
     }
@@ -151,7 +163,7 @@
         ask.multiget = engine.take(now, asker, client_end, asked);
         self.by_multiget.insert(ask.multiget, asker);
         self.asks.insert(asker, ask);
-        if let Some(client) = self.clients.held.get_mut(&berth) {
+        if let Some(client) = self.clients.get_mut(berth) {
             client.asker = Some(asker);
         }
     }
@@ -187,7 +199,7 @@
         let Some(ask) = self.asks.remove(&asker) else { return };
         self.by_multiget.remove(&ask.multiget);
         let berth = ask.client;
-        let Some(client) = self.clients.held.get_mut(&berth) else { return };
+        let Some(client) = self.clients.get_mut(berth) else { return };
         let keep = client.keep && !client.old && self.stopping.is_none();
         (client.asker, client.since, client.bodiless) = (None, now, false);
         let verdict = match (verdict, self.plant) {
@@ -216,7 +228,7 @@
         if keep {
             self.client_came(now, berth, ports);
         } else {
-            self.clients.held.remove(&berth);
+            self.clients.remove(berth);
             ports.close_after(berth);
         }
     }
--- a/crates/fernknot-sluice/tests/stories/mod.rs
+++ b/crates/fernknot-sluice/tests/stories/mod.rs
@@ -10,6 +10,7 @@
 use fernknot_registry::{NodeFact, NodeState};
 use fernknot_sluice::{Doors, Gateway};
 
+mod bodies;
 mod names;
 mod offers;
 mod resets;
