--- a/crates/fernknot-sluice/src/gateway.rs
+++ b/crates/fernknot-sluice/src/gateway.rs
@@ -67,6 +67,8 @@
     SameLineAgain,
     /// A connection that was up and is gone counts as one that never came up.
     GoneIsUnopened,
+    /// A request whose connection was up and is gone counts as one that was never sent, once it is broken off.
+    PromiseAfterGone,
     /// An answer whose end no head tells counts as whole.
     CutShortIsWhole,
     /// Of pipelined requests all are taken in hand at once.
--- a/crates/fernknot-sluice/src/gateway/downstream.rs
+++ b/crates/fernknot-sluice/src/gateway/downstream.rs
@@ -186,7 +186,9 @@
         let Some(ask) = self.asks.get(&asker).filter(|_| *verdict == Verdict::BrokenOff) else {
             return false;
         };
-        if ask.offered || !ask.opening.iter().all(|berth| ports.is_opening(*berth)) {
+        let planted = self.plant == Some(Plant::PromiseAfterGone);
+        let never_up = |berth: &Berth| ports.is_opening(*berth) || planted && !ports.is_open(*berth);
+        if ask.offered || !ask.opening.iter().all(never_up) {
             return false;
         }
         let opening = ask.opening.clone();
--- a/crates/fernknot-sluice/tests/callers.rs
+++ b/crates/fernknot-sluice/tests/callers.rs
@@ -112,6 +112,7 @@
 #[test_case(Plant::PromiseAfterHandOff; "a promise is made though a node may have run it")]
 #[test_case(Plant::SameLineAgain; "a request goes again over a connection that carried it")]
 #[test_case(Plant::GoneIsUnopened; "a connection that is gone counts as one that never came up")]
+#[test_case(Plant::PromiseAfterGone; "a promise is made though the connection was up")]
 #[test_case(Plant::CutShortIsWhole; "an answer cut short counts as whole")]
 #[test_case(Plant::PipelinedAtOnce; "pipelined requests are answered in any order")]
 fn given_a_planted_break_when_seeds_are_played_then_it_is_found(plant: Plant) {
