--- a/crates/fernknot-sluice/src/clients.rs
+++ b/crates/fernknot-sluice/src/clients.rs
@@ -28,10 +28,14 @@
     pub coming: bool,
     /// Nothing further will come.
     pub ended: bool,
+    /// How long it may rest by what it was told last, or by the version in force when it came.
+    pub rests: Nanos,
+    /// Bytes kept for its body that has come in part, as last counted.
+    in_part: usize,
 }
 
 impl Client {
-    pub fn new(door: Door, now: Nanos) -> Client {
+    pub fn new(door: Door, now: Nanos, rests: Nanos) -> Client {
         let reader = RequestReader::default();
         Client {
             door,
@@ -43,21 +47,64 @@
             since: now,
             coming: false,
             ended: false,
+            rests,
+            in_part: 0,
         }
     }
+
+    /// It is answered under a version by which connections rest for so long; `told` says whether its head says so. One
+    /// that is told nothing may still go by an earlier word.
+    pub fn may_rest(&mut self, idle: Nanos, told: bool) {
+        self.rests = if told { idle } else { self.rests.max(idle) };
+    }
 }
 
 #[derive(Default)]
 pub struct Clients {
-    pub held: HashMap<Berth, Client>,
+    held: HashMap<Berth, Client>,
+    /// Bytes kept for bodies that have come in part, of all together.
+    in_part: usize,
 }
 
 impl Clients {
-    /// Those that have been idle, or sending one request, for too long.
+    pub fn add(&mut self, berth: Berth, client: Client) {
+        self.remove(berth);
+        self.held.insert(berth, client);
+    }
+
+    pub fn has(&self, berth: Berth) -> bool {
+        self.held.contains_key(&berth)
+    }
+
+    pub fn get_mut(&mut self, berth: Berth) -> Option<&mut Client> {
+        self.held.get_mut(&berth)
+    }
+
+    pub fn remove(&mut self, berth: Berth) -> Option<Client> {
+        self.held.remove(&berth).inspect(|client| self.in_part -= client.in_part)
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &Client> {
+        self.held.values()
+    }
+
+    /// Counts what a client has sent in part, after its reader has read; what all have sent so comes back, in bytes.
+    pub fn count_in_part(&mut self, berth: Berth) -> usize {
+        if let Some(client) = self.held.get_mut(&berth) {
+            let before = std::mem::replace(&mut client.in_part, client.reader.kept());
+            self.in_part = self.in_part - before + client.in_part;
+        }
+        self.in_part
+    }
+
+    /// Those that have been idle, or sending one request, for too long. Guards what a client was told against a
+    /// version that came since and lets connections rest for a shorter time.
     pub fn overdue(&self, now: Nanos, idle: Nanos, sending: Nanos) -> Vec<(Berth, bool)> {
         let waits = self.held.iter().filter(|(_, client)| client.asker.is_none());
-        let late =
-            waits.filter(|(_, client)| now - client.since > if client.coming { sending } else { idle });
+        let late = waits.filter(|(_, client)| {
+            let most = if client.coming { sending } else { idle.max(client.rests) };
+            now - client.since > most
+        });
         let mut late: Vec<(Berth, bool)> = late.map(|(berth, client)| (*berth, client.coming)).collect();
         // In one order, so that a run can be played again.
         late.sort();
