Found a large system from fewer seeds than a change needs, and refuse number 0 plainly

By reading: a configuration with number 0 was called forgotten (503) where nothing ever was. Change: the first view may have as many members as founders were named; it takes no change before the others are in. Number 0 is 400. Measured: seven and nine members with three founders found themselves and take a change (tests/faults.rs); one case more in changes.rs.

--- a/crates/fernknot-headworks/src/changes.rs
+++ b/crates/fernknot-headworks/src/changes.rs
@@ -77,7 +77,8 @@
     if let Some(ground) = Ground::known(control, change.epoch, change.digest) {
         return Verdict::Taken(ground);
     }
-    if change.epoch <= control.horizon() && !planted {
+    // Number 0 is below all that was ever taken, forgotten or not.
+    if (1..=control.horizon()).contains(&change.epoch) && !planted {
         return Verdict::Forgotten;
     }
     if change.base != control.epoch {
--- a/crates/fernknot-headworks/tests/changes.rs
+++ b/crates/fernknot-headworks/tests/changes.rs
@@ -92,6 +92,7 @@
 #[test_case(&plan(7, "a").replace(r#""backend":"books""#, r#""backend":"films""#), 0, 400; "an unknown service")]
 #[test_case(&plan(7, "a").replace("1200", "0"), 0, 400; "no time at all")]
 #[test_case(&plan(4, "a"), 4, 400; "epoch not above")]
+#[test_case(&plan(0, "a"), 4, 400; "epoch of nothing")]
 #[test_case(&plan(7, "a"), 3, 412; "another version in place")]
 fn given_a_version_in_force_when_an_unsound_one_comes_then_it_is_refused_and_nothing_changes(
     body: &str,
--- a/crates/fernknot-views/src/ballots.rs
+++ b/crates/fernknot-views/src/ballots.rs
@@ -152,6 +152,15 @@
         Base { view: View { no: number, members, absent }, floors }
     }
 
+    /// Members of the next view, at least: those that a change needs. The first view may have fewer where fewer founders
+    /// were named: it takes no change, and lets the others in. Guards a large system with few seeds against never being
+    /// founded.
+    fn fewest(&self) -> usize {
+        let view = &self.cur.base.view;
+        let needed = self.facts.losses.saturating_add(1);
+        if view.no == ViewNo(0) { needed.min(view.members.len()).max(1) } else { needed }
+    }
+
     // When.
 
     /// Begins to change the view where it must be, and can be, changed.
@@ -219,7 +228,7 @@
         };
         let voting = voters(view)
             .filter(|seat| same(view.no, seat, &self.facts.me) || self.in_touch(seat) || empty(seat));
-        if plan.len() <= self.facts.losses || voting.count() <= voters(view).count() / 2 {
+        if plan.len() < self.fewest() || voting.count() <= voters(view).count() / 2 {
             return None;
         }
         let patience = self.facts.suspect_after;
@@ -444,7 +453,7 @@
                 let answered: BTreeSet<MemberId> = run.answers.values().map(|(who, _)| who.id).collect();
                 let members = self.plan(Some(&answered));
                 let Some((no, state)) = run.tail.clone() else { return self.give_up() };
-                if members.len() <= self.facts.losses {
+                if members.len() < self.fewest() {
                     return self.give_up();
                 }
                 Value { next: self.next_base(members, no), no, state, adopted: false }
--- a/crates/fernknot-views/tests/faults.rs
+++ b/crates/fernknot-views/tests/faults.rs
@@ -4,6 +4,7 @@
 
 use assert_matches::assert_matches;
 use common::*;
+use fernknot::interface::Nanos;
 
 fn founded(seed: u64) -> Fleet {
     let mut fleet = Fleet::new(seed, 3, 3, 1, None);
@@ -143,6 +144,26 @@
     settles(&mut fleet, 100 * MS);
 }
 
+#[test_case::test_case(7, 3; "seven of which three may be lost")]
+#[test_case::test_case(9, 4; "nine of which four may be lost")]
+fn given_fewer_founders_than_a_change_needs_when_started_then_the_others_are_let_in_before_one_is_taken(
+    machines: u8,
+    losses: usize,
+) {
+    let mut fleet = Fleet::new(12, machines, 3, losses, None);
+    // Their hosts tell them of each other.
+    for at in 0..fleet.machines.len() {
+        let others: Vec<_> = fleet.machines.iter().map(|machine| machine.addr).collect();
+        let views = fleet.machines[at].views.as_mut().expect("it runs");
+        others.into_iter().for_each(|other| views.know(Nanos(fleet.now), other));
+        fleet.serve(at);
+    }
+    fleet.goes_on(8 * SUSPECT).expect("founded");
+    fleet.play(4 * SUSPECT);
+    assert_eq!((fleet.members().len(), &fleet.broken), (machines as usize, &None));
+    settles(&mut fleet, 100 * MS);
+}
+
 #[test]
 fn given_one_founder_late_when_started_then_the_others_found_the_view_without_it() {
     let mut fleet = Fleet::new(13, 3, 3, 1, None);
