--- a/crates/fernknot-basin/src/lib.rs
+++ b/crates/fernknot-basin/src/lib.rs
@@ -11,11 +11,9 @@
 //! | [`load`] | clients, and the platform that tells them which gateways are ready |
 //! | [`checker`] | judges what clients and nodes saw, by code of its own |
 //! | [`rig`] | the processes, their settings and their ends |
-//! | [`chance`] | chance from a seed |
 //! | [`usage`] | what a process costs |
 //! | [`measure`] | how that cost grows with gateways, nodes, routes, changes and queries |
 
-pub mod chance;
 pub mod checker;
 pub mod inner;
 pub mod load;
--- a/crates/fernknot-basin/src/load.rs
+++ b/crates/fernknot-basin/src/load.rs
@@ -1,10 +1,10 @@
 //! Clients, and the platform that sends them to gateways that are ready.
 
-use crate::chance::Chance;
 use crate::checker::{Kind, Request, Seen, Try};
 use crate::nodes::held;
 use crate::paper::HOST;
 use crate::wire::{self, Line, Message};
+use fernknot_flume::chance::Chance;
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
--- a/crates/fernknot-basin/src/nodes.rs
+++ b/crates/fernknot-basin/src/nodes.rs
@@ -1,8 +1,8 @@
 //! Stand-in nodes, as PROTOCOL says of the routers of a service: each life has an id of its own, beats, works on so
 //! many requests at once, turns the rest away, drains before a planned end and says nothing before a crash.
 
-use crate::chance::{Chance, STEP, mixed};
 use crate::wire::{self, Line, Message};
+use fernknot_flume::chance::{Chance, STEP, mixed};
 use serde_json::json;
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
--- a/crates/fernknot-basin/src/chance.rs
+++ b/crates/fernknot-flume/src/chance.rs
@@ -1,5 +1,6 @@
 //! Chance from a seed, for many threads.
 
+use fernknot::interface::Nanos;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Draws in turn; which thread gets which draw is the system's business.
@@ -29,4 +30,20 @@
     pub fn below(&self, count: usize) -> usize {
         (self.draw() % count.max(1) as u64) as usize
     }
+
+    /// True once in so many times.
+    pub fn one_in(&self, times: usize) -> bool {
+        self.below(times) == 0
+    }
+
+    /// From the first to below the second; the first where there is nothing between them.
+    pub fn between(&self, from: Nanos, to: Nanos) -> Nanos {
+        let span = (to - from).0.max(1);
+        from + Nanos(self.draw() % span)
+    }
+
+    /// One of these.
+    pub fn pick<T: Copy>(&self, list: &[T]) -> Option<T> {
+        list.get(self.below(list.len())).copied()
+    }
 }
--- /dev/null
+++ b/crates/fernknot-flume/src/register.rs
@@ -0,0 +1,162 @@
+//! The operators' history against what it must be: one register that is replaced only by who names its newest
+//! version, and read. Stateright's tester searches for an order; this file cuts the history so that it can.
+
+use stateright::semantics::{ConsistencyTester, LinearizabilityTester, SequentialSpec};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// A version: its number, and which of the configurations under that number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Version {
+    pub epoch: u64,
+    pub body: u64,
+}
+
+/// What an operator asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Op {
+    /// On top of the version with the number `base`, 0 for none.
+    Replace {
+        base: u64,
+        new: Version,
+    },
+    Read,
+}
+
+/// What it is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Ret {
+    Taken,
+    /// 412, or 400 for a number that is not above.
+    Refused,
+    Found(Option<Version>),
+}
+
+/// One call. Its ends are places in the one sequence of all events; without a clear end it has none.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    pub op: Op,
+    pub from: u64,
+    pub to: Option<(u64, Ret)>,
+}
+
+/// Steps after which a search is given up.
+const MOST_STEPS: u64 = 400_000;
+
+/// The register as it should be, with what keeps the search short.
+#[derive(Clone, Debug)]
+struct Register {
+    newest: Option<Version>,
+    /// The last call that changed nothing, since one did.
+    idle: Option<usize>,
+    steps: Arc<AtomicU64>,
+}
+
+impl SequentialSpec for Register {
+    /// With the call's place among all, by when it began.
+    type Op = (usize, Op);
+    type Ret = Ret;
+
+    fn invoke(&mut self, (_, op): &(usize, Op)) -> Ret {
+        match *op {
+            Op::Read => Ret::Found(self.newest),
+            Op::Replace { base, new } => {
+                let epoch = self.newest.map_or(0, |newest| newest.epoch);
+                if base != epoch || new.epoch <= epoch {
+                    return Ret::Refused;
+                }
+                (self.newest, self.idle) = (Some(new), None);
+                Ret::Taken
+            }
+        }
+    }
+
+    /// Calls that change nothing may trade places: of all their orders only that by their beginnings is tried. It
+    /// breaks no order in time, as who ended before another began also began before it.
+    fn is_valid_step(&mut self, op: &(usize, Op), ret: &Ret) -> bool {
+        if self.steps.fetch_add(1, Ordering::Relaxed) > MOST_STEPS {
+            return false;
+        }
+        if self.invoke(op) != *ret {
+            return false;
+        }
+        if *ret == Ret::Taken {
+            return true;
+        }
+        let sorted = self.idle.is_none_or(|idle| idle < op.0);
+        self.idle = Some(op.0);
+        sorted
+    }
+}
+
+/// What became of the search.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// There is an order that explains all.
+    Linearizable,
+    /// There is none for these calls, which began on this version.
+    Broken { on: Option<Version>, calls: Vec<Call> },
+    /// The search was given up: nothing is known of these.
+    Undecided { calls: Vec<Call> },
+}
+
+/// Whether one order of the calls, each at a moment between its ends, explains what all were told. The history is cut
+/// where no call is in flight: there the version is known, as it is the last of those taken. A call without an end
+/// is never cut off: it stays in flight to the end of the history.
+pub fn judge(calls: &[Call]) -> Verdict {
+    let mut calls = calls.to_vec();
+    calls.sort_by_key(|call| call.from);
+    let mut on = None;
+    let mut begun = 0;
+    while begun < calls.len() {
+        let mut end = begun;
+        let mut last = 0;
+        while end < calls.len() && (end == begun || calls[end].from < last) {
+            last = last.max(calls[end].to.map_or(u64::MAX, |(to, _)| to));
+            end += 1;
+        }
+        let part = &calls[begun..end];
+        match judge_part(on, part) {
+            Verdict::Linearizable => {}
+            other => return other,
+        }
+        // Taken ones rise in number, each on top of the one before.
+        let taken = part.iter().filter_map(|call| match (call.op, call.to) {
+            (Op::Replace { new, .. }, Some((_, Ret::Taken))) => Some(new),
+            _ => None,
+        });
+        on = taken.max().or(on);
+        begun = end;
+    }
+    Verdict::Linearizable
+}
+
+fn judge_part(on: Option<Version>, part: &[Call]) -> Verdict {
+    let steps = Arc::new(AtomicU64::new(0));
+    let register = Register { newest: on, idle: None, steps: steps.clone() };
+    let mut tester = LinearizabilityTester::new(register);
+    // Each call is a thread of its own: order in time binds threads too, and a thread has one call in flight.
+    let mut events: Vec<(u64, usize, Option<Ret>)> = Vec::new();
+    for (at, call) in part.iter().enumerate() {
+        events.push((call.from, at, None));
+        events.extend(call.to.map(|(to, ret)| (to, at, Some(ret))));
+    }
+    events.sort_by_key(|(when, at, ret)| (*when, *at, ret.is_some()));
+    for (_, at, ret) in events {
+        let fits = match ret {
+            None => tester.on_invoke(at, (at, part[at].op)).is_ok(),
+            Some(ret) => tester.on_return(at, ret).is_ok(),
+        };
+        if !fits {
+            return Verdict::Undecided { calls: part.to_vec() };
+        }
+    }
+    let calls = || part.to_vec();
+    if tester.is_consistent() {
+        Verdict::Linearizable
+    } else if steps.load(Ordering::Relaxed) > MOST_STEPS {
+        Verdict::Undecided { calls: calls() }
+    } else {
+        Verdict::Broken { on, calls: calls() }
+    }
+}
