--- a/crates/fernknot-flume/src/listeners.rs
+++ b/crates/fernknot-flume/src/listeners.rs
@@ -172,7 +172,10 @@
             return;
         }
         if !machine.is_up() {
-            self.listeners.list[at].ear = 0;
+            let now = self.now;
+            let listener = &mut self.listeners.list[at];
+            listener.ear = 0;
+            _ = listener.failed.insert(to, now);
             return;
         }
         let listener = &mut self.listeners.list[at];
@@ -244,6 +247,11 @@
                 }
             }
             Outward::Nodes(facts) => {
+                if self.facts.trace {
+                    let told = facts.iter().map(|fact| format!("{} {:?} {}", fact.id, fact.state, fact.seq));
+                    let text = format!("listener {at} is told of {}", told.collect::<Vec<_>>().join(", "));
+                    self.log.push(format!("{:>10.3} {text}", now.as_millis()));
+                }
                 for fact in facts {
                     match listener.nodes.get_mut(&fact.id) {
                         Some(known) => {
--- a/crates/fernknot-flume/src/play.rs
+++ b/crates/fernknot-flume/src/play.rs
@@ -60,6 +60,8 @@
     SwapsAnswers,
     /// Listeners are told an older plan as if it were the newest.
     GoesBack,
+    /// One of the registrars' own.
+    Registrar(fernknot_headworks::Plant),
 }
 
 /// One play.
@@ -98,7 +100,10 @@
     }
 
     pub(crate) fn registrar(&self, facts: RegistrarFacts, now: Nanos) -> Registrar {
-        Registrar::new(facts, now)
+        match self.plant {
+            Some(Plant::Registrar(plant)) => Registrar::planted(facts, now, Some(plant)),
+            _ => Registrar::new(facts, now),
+        }
     }
 
     /// The troubles of this seed.
--- a/crates/fernknot-flume/src/world.rs
+++ b/crates/fernknot-flume/src/world.rs
@@ -4,7 +4,7 @@
 use crate::chance::Chance;
 use crate::judge::Seen;
 use crate::listeners::Listeners;
-use crate::play::Facts;
+use crate::play::{Facts, Plant};
 use crate::troubles::{Trigger, Trouble};
 use fernknot::interface::Nanos;
 use fernknot_conduit::{Inward, PeerWord};
@@ -22,7 +22,13 @@
 const AGAIN: Nanos = Nanos(1_000_000_000);
 
 /// The caller who asks for the timeline.
-const NOBODY: Slot = Slot(u64::MAX);
+const NOBODY: Slot = Slot { line: u64::MAX, call: u64::MAX };
+/// Connections of callers at one process: each is used again by others.
+const LINES: u64 = 8;
+
+fn slot(call: u64) -> Slot {
+    Slot { line: call % LINES, call }
+}
 
 /// So many milliseconds.
 pub fn ms(ms: u64) -> Nanos {
@@ -53,7 +59,8 @@
 #[derive(Clone, Debug)]
 pub enum Input {
     Peer(SocketAddrV4, PeerWord),
-    Opened(SocketAddrV4),
+    /// With the connection: one that was given up meanwhile is nobody's any more.
+    Opened(SocketAddrV4, u64),
     Closed(SocketAddrV4),
     DiskRead,
     Stored(Ticket, bool),
@@ -404,7 +411,7 @@
         machine.touched = now;
         // Writes under way: some came whole onto the disk, though nobody was told.
         for (_, saved, due) in std::mem::take(&mut machine.disk.under_way) {
-            let early = self.facts.plant == Some(crate::play::Plant::DiskAcksEarly);
+            let early = self.facts.plant == Some(Plant::DiskAcksEarly);
             if keep && !early && due != Nanos(u64::MAX) {
                 machine.disk.saved = Some(saved);
             }
@@ -497,15 +504,21 @@
         let Some(brain) = &mut machine.brain else { return };
         match input {
             Input::Peer(from, word) => brain.peer(now, from, word),
-            Input::Opened(to) => brain.opened(now, to),
-            Input::Closed(to) => brain.closed(now, to),
+            Input::Opened(to, id) if self.out.get(&(at, machine_at(to))) == Some(&id) => {
+                brain.opened(now, to)
+            }
+            Input::Closed(to) if !self.out.contains_key(&(at, machine_at(to))) => brain.closed(now, to),
+            Input::Opened(..) | Input::Closed(_) => {}
             Input::DiskRead => {
                 let disk = &machine.disk;
-                let old =
-                    disk.older.front().filter(|_| self.facts.plant == Some(crate::play::Plant::OldFolder));
+                let old = disk.older.front().filter(|_| self.facts.plant == Some(Plant::OldFolder));
                 let saved = old.or(disk.saved.as_ref()).cloned();
                 let fresh = saved.is_none();
+                let text = format!("{at} has read its disk, {}", if fresh { "empty" } else { "not empty" });
                 brain.disk_read(now, saved, &disk.known, fresh);
+                if self.facts.trace {
+                    self.log.push(format!("{:>10.3} {text}", self.now.as_millis()));
+                }
                 brain.disk(now, true);
             }
             Input::Stored(ticket, ok) => {
@@ -522,10 +535,10 @@
             }
             Input::Call(call) => {
                 if let Some(request) = self.callers.request_of(call) {
-                    brain.call(now, Slot(call), request);
+                    brain.call(now, slot(call), request);
                 }
             }
-            Input::CallGone(call) => brain.call_gone(Slot(call)),
+            Input::CallGone(call) => brain.call_gone(slot(call)),
             Input::Inward(ear, word) => brain.inward(now, ear, word),
             Input::EarGone(ear) => brain.ear_gone(ear),
         }
@@ -554,8 +567,8 @@
         match order {
             Order::Answer { slot, reply } => self.answered(at, slot, reply),
             Order::Say { to, word } => {
-                let dropped = self.facts.plant == Some(crate::play::Plant::KeepsDrains)
-                    && matches!(word, PeerWord::Nodes(_));
+                let dropped =
+                    self.facts.plant == Some(Plant::KeepsDrains) && matches!(word, PeerWord::Nodes(_));
                 let Some(id) = self.out.get(&(at, machine_at(to))).copied().filter(|_| !dropped) else {
                     return;
                 };
@@ -664,7 +677,7 @@
                 return;
             }
         };
-        let early = self.facts.plant == Some(crate::play::Plant::DiskAcksEarly);
+        let early = self.facts.plant == Some(Plant::DiskAcksEarly);
         if early {
             self.later(Nanos(0), Event::Input(at, life, Input::Stored(ticket, true)));
         }
@@ -682,7 +695,7 @@
 
     /// The disk has it, also where the process is frozen.
     fn written(&mut self, at: usize, life: u64, ticket: Ticket, saved: Saved) {
-        let early = self.facts.plant == Some(crate::play::Plant::DiskAcksEarly);
+        let early = self.facts.plant == Some(Plant::DiskAcksEarly);
         let machine = &mut self.machines[at];
         if machine.life != life || machine.brain.is_none() {
             return;
@@ -769,7 +782,7 @@
         if let Some(conn) = self.conns.get_mut(&id) {
             (conn.open, conn.to_life, conn.last) = (true, to_life, self.now);
         }
-        self.later(Nanos(0), Event::Input(from, life, Input::Opened(addr(to))));
+        self.later(Nanos(0), Event::Input(from, life, Input::Opened(addr(to), id)));
     }
 
     fn word(&mut self, id: u64, word: PeerWord) {
@@ -789,6 +802,11 @@
             return conn.held.push_back(word);
         }
         if machine.life == to_life && machine.is_up() {
+            if let PeerWord::Nodes(facts) = &word {
+                let told = facts.iter().map(|fact| format!("{} {:?} {}", fact.id, fact.state, fact.seq));
+                let text = told.collect::<Vec<_>>().join(", ");
+                self.say(|| format!("{to} is told by {from} of {text}"));
+            }
             self.input(to, Input::Peer(addr(from), word));
         }
     }
@@ -919,6 +937,6 @@
         if slot == NOBODY {
             return self.looked_at(at, &reply);
         }
-        self.answer(at, slot.0, &reply);
+        self.answer(at, slot.call, &reply);
     }
 }
