--- a/crates/fernknot-headworks/src/registrar.rs
+++ b/crates/fernknot-headworks/src/registrar.rs
@@ -192,8 +192,8 @@
     registry: Registry,
     /// The registry's version that listeners have been told.
     nodes_told: u64,
-    /// Lives of which something was first told here, for the other registrars.
-    first_here: BTreeSet<String>,
+    /// Lives of which the other registrars are to be told: something was first told here, or that they leave.
+    to_tell: BTreeSet<String>,
     keeper: Keeper,
     cut: Cut,
     ears: Ears,
@@ -242,7 +242,7 @@
             next_inquiry: 0,
             registry: Registry::new(facts.beat, RegistryBounds::default()),
             nodes_told: 0,
-            first_here: BTreeSet::new(),
+            to_tell: BTreeSet::new(),
             keeper: Keeper::new(facts.beat, KeeperBounds { most_gateways: 1024, doubt: facts.doubt() }),
             cut: Cut::default(),
             ears: Ears::default(),
@@ -330,6 +330,7 @@
                 self.cut_look = true;
             }
             Inward::Leaving => {
+                self.ears.partly.remove(&ear);
                 let Some(listener) = self.ears.list.remove(&ear) else { return };
                 let life = listener.who.life;
                 self.keeper.left(now, life);
@@ -348,6 +349,7 @@
     /// A listener's connection has gone. Its gateway may live: its beats say, not its connection.
     pub fn ear_gone(&mut self, ear: Ear) {
         self.ears.list.remove(&ear);
+        self.ears.partly.remove(&ear);
     }
 
     /// A word of the registrar that listens at `from`.
@@ -369,8 +371,14 @@
                 }
             }
             PeerWord::Nodes(facts) => {
+                let before = self.registry.version();
                 let changed = self.registry.told(now, &facts);
                 self.counters.add("nodes_told", changed as u64);
+                // That a node leaves is passed on once by each who hears of it. Guards against a cut one way between
+                // the teller and another, where nodes and gateways reach both.
+                let news = self.registry.changes_since(before).map_or(Vec::new(), |(_, facts)| facts);
+                let leaves = |fact: &&NodeFact| matches!(fact.state, NodeState::Draining | NodeState::Gone);
+                self.to_tell.extend(news.iter().filter(leaves).map(|fact| fact.id.clone()));
             }
             PeerWord::Heard(hashes) => {
                 let unknown = self.registry.heard_elsewhere(now, &hashes);
@@ -498,7 +506,7 @@
         let out = self.views.as_ref().is_none_or(|views| {
             !views.is_sequencer() && views.sequencer().is_none_or(|first| first.addr != self.facts.addr)
         });
-        (alone || out) && self.changes.list.is_empty()
+        (alone || out) && self.changes.list.is_empty() && self.inquiries.is_empty()
     }
 
     // What goes out.
@@ -559,7 +567,7 @@
             self.beat_at = now + self.facts.beat.times(0.5);
             self.half_beat();
         }
-        self.tell_first_here();
+        self.tell_others();
         self.tell_nodes();
         if self.cut_look || self.pulse_at <= now {
             self.cut_look = false;
@@ -634,6 +642,9 @@
             let text = if lease { "a majority is heard" } else { "no majority is heard" };
             self.note(Level::Info, part::VIEWS, text.into());
         }
+        if lease && !self.ears.partly.is_empty() {
+            self.complete();
+        }
     }
 
     fn delivered(&mut self, no: OrderNo, state: &[u8]) {
@@ -670,7 +681,7 @@
             .ears
             .list
             .iter()
-            .filter(|(_, listener)| listener.order < order)
+            .filter(|(ear, listener)| listener.order < order && !self.ears.partly.contains(ear))
             .map(|(ear, _)| *ear)
             .collect();
         self.tell_plan(behind);
@@ -948,29 +959,55 @@
         }
     }
 
-    /// What nodes said here goes to the other registrars at once.
-    fn tell_first_here(&mut self) {
-        if self.first_here.is_empty() {
+    /// What nodes said here, and that they leave, goes to the other registrars at once.
+    fn tell_others(&mut self) {
+        if self.to_tell.is_empty() {
             return;
         }
-        let hashes: Vec<u64> = std::mem::take(&mut self.first_here).iter().map(|id| life_hash(id)).collect();
+        let hashes: Vec<u64> = std::mem::take(&mut self.to_tell).iter().map(|id| life_hash(id)).collect();
         let facts = self.registry.facts_of(&hashes);
         self.say_all(|| PeerWord::Nodes(facts.clone()));
     }
 
     // The gateways.
 
+    /// Guards against a gateway that starts while this registrar is cut off, and would be ready with an old
+    /// configuration: without a majority it hears of nodes, and that it had better ask another.
     fn welcome(&mut self, ear: Ear, listener: Listener) {
-        let behind = listener.order < self.in_force.order;
-        let (_, facts) = self.registry.snapshot();
-        let facts = listener.share_of(&facts);
         self.ears.list.insert(ear, listener);
-        if behind {
+        if self.holds_lease() {
+            return self.tell_all(ear);
+        }
+        self.ears.partly.insert(ear);
+        self.tell_nodes_to(ear);
+        let pulse = self.pulse_word();
+        self.orders.push_back(Order::Tell { to: vec![ear], word: pulse });
+    }
+
+    /// Those who were told in part get the rest, now that a majority is heard.
+    fn complete(&mut self) {
+        for ear in std::mem::take(&mut self.ears.partly) {
+            if self.ears.list.contains_key(&ear) {
+                self.tell_all(ear);
+            }
+        }
+    }
+
+    fn tell_all(&mut self, ear: Ear) {
+        if self.ears.list.get(&ear).is_some_and(|listener| listener.order < self.in_force.order) {
             self.tell_plan(vec![ear]);
         }
-        let cut = (self.cut.fence != Fence::default()).then(|| Outward::Cut(self.cut.clone()));
+        self.tell_nodes_to(ear);
         let pulse = self.pulse_word();
-        let words = cut.into_iter().chain([Outward::Nodes(facts), Outward::Whole, pulse]);
+        self.orders.extend([Outward::Whole, pulse].map(|word| Order::Tell { to: vec![ear], word }));
+    }
+
+    fn tell_nodes_to(&mut self, ear: Ear) {
+        let Some(listener) = self.ears.list.get(&ear) else { return };
+        let (_, facts) = self.registry.snapshot();
+        let facts = listener.share_of(&facts);
+        let cut = (self.cut.fence != Fence::default()).then(|| Outward::Cut(self.cut.clone()));
+        let words = cut.into_iter().chain([Outward::Nodes(facts)]);
         self.orders.extend(words.map(|word| Order::Tell { to: vec![ear], word }));
     }
 
@@ -1139,8 +1176,8 @@
             return Some(self.leaves_elsewhere());
         }
         let id = fact.id.clone();
-        match self.noted(id, |registry, now| registry.beat(now, fact)) {
-            NodeHeard::Noted if state == NodeState::Draining => self.leaves(slot),
+        match self.noted(id.clone(), |registry, now| registry.beat(now, fact)) {
+            NodeHeard::Noted if state == NodeState::Draining => self.leaves(id, slot),
             heard => Some(heard),
         }
     }
@@ -1154,7 +1191,7 @@
         }
         let id = call.id;
         match self.noted(id.clone(), |registry, now| registry.leave(now, &id)) {
-            NodeHeard::Noted => self.leaves(slot),
+            NodeHeard::Noted => self.leaves(id, slot),
             heard => Some(heard),
         }
     }
@@ -1163,9 +1200,11 @@
 impl Registrar {
     /// The word that a node leaves must reach all gateways in touch, and who is cut off can't promise that. It goes
     /// to the other registrars first and the question after it, on the same connections: a majority that answers has
-    /// the word. What is noted here meanwhile is true whoever hears of it.
-    fn leaves(&mut self, slot: Slot) -> Option<NodeHeard> {
-        self.tell_first_here();
+    /// the word. What is noted here meanwhile is true whoever hears of it. It is told whether it is news here or not:
+    /// guards against a word that came here from one who could not tell all, and was refused there.
+    fn leaves(&mut self, id: String, slot: Slot) -> Option<NodeHeard> {
+        self.to_tell.insert(id);
+        self.tell_others();
         if self.inquire(Waiter::Leave(slot), CALL_WITHIN) {
             return None;
         }
@@ -1181,7 +1220,7 @@
     fn noted(&mut self, id: String, note: impl FnOnce(&mut Registry, Nanos) -> Noted) -> NodeHeard {
         let noted = note(&mut self.registry, self.now);
         if noted.is_news() {
-            self.first_here.insert(id);
+            self.to_tell.insert(id);
         }
         match noted {
             Noted::Refused => NodeHeard::No("no room for another node"),
--- a/crates/fernknot-headworks/tests/nodes.rs
+++ b/crates/fernknot-headworks/tests/nodes.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::{Fleet, ms};
+use common::{Fleet, ms, plan};
 use fernknot_conduit::{Inward, Outward, Share};
 use fernknot_headworks::Ear;
 use fernknot_registry::NodeState;
+use test_case::test_case;
 
 /// The last that a listener heard of a node.
 fn state(fleet: &Fleet, ear: u64, id: &str) -> Option<NodeState> {
@@ -52,6 +53,42 @@
     assert_eq!(fleet.beat(1, "i-1", "draining", 9), 200);
 }
 
+/// One that can't speak to another is told of a drain, by words alone or by the third too; who listens at the other.
+#[test_case(1, &[1]; "by one that a third hears")]
+#[test_case(1, &[1, 3]; "by one, and by the third that knows already")]
+fn given_a_cut_one_way_when_a_node_drains_then_who_listens_past_the_cut_hears_of_it(
+    from: usize,
+    told: &[usize],
+) {
+    let mut fleet = Fleet::three();
+    assert_eq!(fleet.beat(from, "i-1", "ready", 1), 200);
+    fleet.run(ms(500));
+    let ear = fleet.listen(2, Share::All, 0);
+    fleet.cut_one_way(from, 2);
+    for (seq, at) in told.iter().enumerate() {
+        fleet.beat(*at, "i-1", "draining", 2 + seq as u64);
+    }
+    fleet.run(ms(10));
+    assert_eq!(state(&fleet, ear, "i-1"), Some(NodeState::Draining));
+}
+
+/// The third has it from one that came back and told all it knew, while the other could not hear either.
+#[test]
+fn given_a_drain_that_is_known_when_it_is_acknowledged_then_all_others_are_told_again() {
+    let mut fleet = Fleet::three();
+    assert_eq!(fleet.beat(1, "i-1", "ready", 1), 200);
+    fleet.run(ms(500));
+    let ear = fleet.listen(2, Share::All, 0);
+    fleet.cut_one_way(1, 2);
+    fleet.cut_one_way(3, 2);
+    fleet.call(1, "POST /-/nodes/i-1/deregister HTTP/1.1\r\n", "{}");
+    fleet.run(ms(10));
+    fleet.join_all();
+    assert_eq!(fleet.ask(3, "POST /-/nodes/i-1/deregister HTTP/1.1\r\n", "{}"), 200);
+    fleet.run(ms(10));
+    assert_eq!(state(&fleet, ear, "i-1"), Some(NodeState::Gone));
+}
+
 #[test]
 fn given_a_registrar_that_restarts_when_it_meets_the_others_then_it_knows_the_nodes_again() {
     let mut fleet = Fleet::three();
@@ -103,3 +140,24 @@
     assert!(after.0 > before.0);
     assert_eq!(after.1, 2);
 }
+
+#[test]
+fn given_a_registrar_that_is_cut_off_when_a_gateway_starts_then_it_is_told_no_configuration_until_the_others_are_back()
+ {
+    let mut fleet = Fleet::three();
+    assert_eq!(fleet.replace(1, 0, &plan(4, "one")), 200);
+    fleet.run(ms(50));
+    let first = fleet.first();
+    let other = first % 3 + 1;
+    fleet.cut_off(first);
+    fleet.run(ms(3000));
+    assert_eq!(fleet.replace(other, 4, &plan(7, "two")), 200);
+    let ear = fleet.listen(first, Share::All, 0);
+    fleet.run(ms(1000));
+    let whole = |fleet: &Fleet| fleet.heard[&ear].iter().any(|word| matches!(word, Outward::Whole));
+    assert!(fleet.plans(ear).is_empty() && !whole(&fleet), "it would be ready with an old one");
+    fleet.join_all();
+    fleet.run(ms(6000));
+    assert_eq!(fleet.plans(ear), [7]);
+    assert!(whole(&fleet));
+}
