--- a/crates/fernknot-flume/src/callers.rs
+++ b/crates/fernknot-flume/src/callers.rs
@@ -21,6 +21,8 @@
 const REFUSALS: usize = 3;
 /// Orders that one operator has under way.
 const MOST_ORDERS: usize = 8;
+/// Reads of one play.
+const MOST_READS: usize = 300;
 /// How often what must not last is looked at.
 const LOOK: Nanos = Nanos(100_000_000);
 
@@ -97,6 +99,7 @@
     Operator(usize),
     Node(usize),
     Look,
+    Besiege(usize, Nanos),
 }
 
 /// All who call.
@@ -195,6 +198,7 @@
             Event::Again(errand) => self.send(errand, None),
             Event::Operator(at) => self.operator(at),
             Event::Node(at) => self.node(at),
+            Event::Besiege(at, lasts) => self.besiege(at, lasts),
             Event::Look => {
                 self.look();
                 self.later(LOOK, All::Caller(Event::Look));
@@ -421,7 +425,7 @@
                 if let Some(version) = found {
                     self.sighted(version, to);
                 }
-                if errand.only.is_some() {
+                if errand.only.is_some() && self.callers.closing {
                     self.seen.last_reads.insert(tried.at, found);
                 }
                 if let Some(operator) = operator.and_then(|at| self.callers.operators.get_mut(at)) {
@@ -549,6 +553,30 @@
         }
     }
 
+    /// Reads at one machine, and orders anywhere, without a pause for so long.
+    pub fn besiege(&mut self, at: usize, lasts: Nanos) {
+        self.read(None, Some(at));
+        let until = self.now + ms(1500);
+        if let Some(errand) = self.callers.errands.values_mut().last() {
+            errand.until = Some(until);
+        }
+        let known = self.newest_known();
+        match self.chance.below(6) {
+            0 => self.order(0, known, known + 1),
+            1 => {
+                let taken = self.orders_where(|seen| matches!(seen.to, Some((_, Ret::Taken))));
+                if let Some(order) = taken.last().copied() {
+                    self.send_order(Purpose::Resend(order));
+                }
+            }
+            _ => {}
+        }
+        let pause = self.chance.between(ms(10), ms(60));
+        if lasts > pause && self.seen.reads.len() < MOST_READS && !self.callers.closing {
+            self.later(pause, All::Caller(Event::Besiege(at, lasts - pause)));
+        }
+    }
+
     pub fn newest_known(&self) -> u64 {
         self.callers.operators.iter().map(|operator| operator.newest).max().unwrap_or(0)
     }
--- a/crates/fernknot-flume/src/troubles.rs
+++ b/crates/fernknot-flume/src/troubles.rs
@@ -80,6 +80,8 @@
     Race,
     /// Orders and resends without a pause.
     Storm,
+    /// Reads, orders and resends at one machine, again and again.
+    Besiege,
 }
 
 /// One trouble.
@@ -95,7 +97,7 @@
 impl What {
     /// Whether a machine counts as lost by it.
     pub fn loses(self) -> bool {
-        !matches!(self, What::Reset | What::AnswersLost | What::Race | What::Storm)
+        !matches!(self, What::Reset | What::AnswersLost | What::Race | What::Storm | What::Besiege)
     }
 }
 
@@ -104,12 +106,12 @@
     let mut list = Vec::new();
     let mut at = from;
     while at < to {
-        let trigger = match chance.below(10) {
+        let trigger = match chance.below(12) {
             0..4 => Trigger::Now,
             4..6 => Trigger::Acknowledged,
             6 => Trigger::Sent,
-            7 => Trigger::HandOver,
-            8 => Trigger::Return,
+            7..9 => Trigger::HandOver,
+            9..11 => Trigger::Return,
             _ => Trigger::Cut,
         };
         let target = match chance.below(6) {
@@ -118,14 +120,14 @@
             _ => Target::Any(chance.below(16)),
         };
         let way = chance.pick(&[Way::Both, Way::Both, Way::In, Way::Out]).unwrap_or(Way::Both);
-        let (what, longest) = match chance.below(20) {
+        let (what, longest) = match chance.below(26) {
             0 => (What::Kill, 4000),
             1 => (What::Power, 4000),
             2 => (What::All { power: chance.one_in(2), wiped: chance.one_in(3) }, 1500),
             3 => (What::Wipe, 3000),
             4..8 => (What::CutOff { way, listeners: chance.one_in(2) }, 12_000),
             8 => (What::CutPair { way }, 8000),
-            9 => (What::Reset, 10),
+            9 | 21..24 => (What::Reset, 10),
             10 | 11 => (What::Freeze, 6000),
             12 => (What::DiskFull, 4000),
             13 => (What::DiskHangs, 4000),
@@ -134,11 +136,12 @@
             16 => (What::AnswersLost, 8000),
             17 => (What::Replace, 2000),
             18 => (What::Restart, 500),
+            19 | 20 | 24 => (What::Besiege, 1500),
             _ => (if chance.one_in(2) { What::Race } else { What::Storm }, 3000),
         };
         let lasts = chance.between(ms(5), ms(longest));
         list.push(Trouble { at, trigger, target, what, lasts });
-        at = at + chance.between(ms(200), ms(5000));
+        at = at + chance.between(ms(100), ms(3500));
     }
     list
 }
@@ -197,7 +200,13 @@
         if self.healing || !self.fired.insert(no) {
             return;
         }
-        let Some(at) = self.target(target) else { return };
+        let mut at = match self.target(target) {
+            Some(at) => at,
+            None => return,
+        };
+        if what == What::Besiege {
+            at = self.last_back.unwrap_or(at);
+        }
         let lost = self.lost();
         if what.loses() {
             let others = lost.iter().filter(|other| **other != at).count();
@@ -253,6 +262,7 @@
             What::Restart => self.stop(at),
             What::Race => self.race(),
             What::Storm => self.hurry(true),
+            What::Besiege => self.besiege(at, lasts),
         }
         if matches!(what, What::CutOff { .. } | What::CutPair { .. }) {
             self.trigger(Trigger::Cut);
@@ -278,7 +288,7 @@
             }
             What::CutOff { way, listeners } => self.cut_off(at, way, listeners, false),
             What::CutPair { way } => self.cut_pair(at, way, false),
-            What::Reset | What::Race => {}
+            What::Reset | What::Race | What::Besiege => {}
             What::Freeze => self.freeze(at, false),
             What::DiskFull | What::DiskHangs => self.set_disk(at, Writes::Well),
             What::DiskSlow => {
@@ -316,6 +326,10 @@
     }
 
     fn cut_off(&mut self, at: usize, way: Way, listeners: bool, cut: bool) {
+        if !cut {
+            self.last_back = Some(at);
+            self.trigger(Trigger::Return);
+        }
         let gateways = FIRST_LISTENER..FIRST_LISTENER + if listeners { self.listeners.count() } else { 0 };
         // Also from those that come while it lasts.
         let others: Vec<usize> = (0..MOST_MACHINES).filter(|other| *other != at).chain(gateways).collect();
--- a/crates/fernknot-flume/src/world.rs
+++ b/crates/fernknot-flume/src/world.rs
@@ -185,6 +185,8 @@
     pub fired_on: BTreeMap<usize, usize>,
     pub over: BTreeSet<usize>,
     pub healing: bool,
+    /// The machine that came back last, after a start, a thaw or a cut.
+    pub last_back: Option<usize>,
     /// What was seen, for the judge.
     pub seen: Seen,
     pub log: Vec<String>,
@@ -228,6 +230,7 @@
             fired_on: BTreeMap::new(),
             over: BTreeSet::new(),
             healing: false,
+            last_back: None,
             seen: Seen::default(),
             log: Vec::new(),
             delays,
@@ -386,6 +389,7 @@
         machine.brain = Some(self.facts.registrar(facts, ms(1)));
         machine.touched = self.now;
         self.core_event = self.now;
+        self.last_back = Some(at);
         self.say(|| format!("{at} starts"));
         let wait = self.chance.between(ms(3), ms(40));
         self.later(wait, Event::Input(at, life, Input::DiskRead));
@@ -453,6 +457,8 @@
         self.core_event = self.now;
         self.say(|| format!("{at} {}", if frozen { "freezes" } else { "thaws" }));
         if !frozen {
+            self.last_back = Some(at);
+            self.trigger(Trigger::Return);
             // What its own clock had due may come before what waits at its sockets, or after.
             if self.chance.one_in(2) {
                 self.follow(at);
