--- a/crates/fernknot-headworks/src/lib.rs
+++ b/crates/fernknot-headworks/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod host;
 mod peers;
 mod registrar;
+mod standing;
 
 pub use changes::{CallId, Origin};
 pub use control::{Control, Taken};
--- a/crates/fernknot-views/src/confirm.rs
+++ b/crates/fernknot-views/src/confirm.rs
@@ -85,8 +85,10 @@
     pub(crate) fn hear_confirm(&mut self, from: std::net::SocketAddrV4, view: ViewNo, life: u64, round: u64) {
         let mine = self.cur.base.view.no;
         if view < mine {
-            let base = self.cur.base.clone();
-            self.say(from, Word::Told { base });
+            if self.may_tell() {
+                let base = self.cur.base.clone();
+                self.say(from, Word::Told { base });
+            }
         } else if view > mine {
             self.pulse_soon = true;
         } else if !self.stopped() || self.plant == Some(Plant::ConfirmStopped) {
--- a/crates/fernknot-views/src/lib.rs
+++ b/crates/fernknot-views/src/lib.rs
@@ -4,6 +4,9 @@
 
 mod ballots;
 mod confirm;
+mod forced;
+mod past;
+mod standing;
 mod types;
 mod views;
 
--- a/crates/fernknot-views/src/types.rs
+++ b/crates/fernknot-views/src/types.rs
@@ -5,6 +5,7 @@
 
 use bitcode::{Decode, Encode};
 use fernknot::interface::Nanos;
+use thiserror::Error;
 
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident),*) => {$(
@@ -71,6 +72,34 @@
     pub state: Option<Arc<[u8]>>,
 }
 
+/// How far a disk has come. Each part only rises as long as it is the same disk, so one that falls short of what
+/// others heard of it is an older copy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Encode, Decode)]
+pub struct Mark {
+    /// What it promised, and in the change of which view.
+    pub promise: (ViewNo, Ballot),
+    /// The ballot under which it accepted a next view, and in the change of which view.
+    pub vouched: (ViewNo, Ballot),
+    /// The newest state.
+    pub held: (ViewNo, OrderNo),
+}
+
+impl Mark {
+    /// The later of both, part by part.
+    pub fn join(self, other: Mark) -> Mark {
+        Mark {
+            promise: self.promise.max(other.promise),
+            vouched: self.vouched.max(other.vouched),
+            held: self.held.max(other.held),
+        }
+    }
+
+    /// Nothing of the other is missing here.
+    pub fn covers(self, other: Mark) -> bool {
+        self.join(other) == self
+    }
+}
+
 /// All that a member keeps on disk. The host writes it whole and hands it back at the next start.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
 pub struct Saved {
@@ -84,6 +113,17 @@
     pub held: ViewNo,
     pub no: OrderNo,
     pub state: Arc<[u8]>,
+    /// How far the disks of the voters had come when this was written, as far as they had said.
+    pub marks: Vec<(MemberId, Mark)>,
+}
+
+impl Saved {
+    /// What whoever has this on disk may have vouched for.
+    pub fn mark(&self) -> Mark {
+        let view = self.base.view.no;
+        let vouched = self.vouched.as_ref().map_or(Ballot::default(), |vouched| vouched.ballot);
+        Mark { promise: (view, self.promise), vouched: (view, vouched), held: (self.held, self.no) }
+    }
 }
 
 /// What a member tells of itself, at every pulse and at once where something has changed.
@@ -94,6 +134,11 @@
     pub view: ViewNo,
     pub held: ViewNo,
     pub no: OrderNo,
+    /// What is safely promised and vouched for in the change of `view`.
+    pub promise: Ballot,
+    pub vouched: Ballot,
+    /// Started from a disk, and nobody has said enough yet of what came from it before.
+    pub asks: bool,
     /// The newest order number known to be taken in `view`.
     pub commit: OrderNo,
     pub force: bool,
@@ -113,6 +158,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
 pub enum Word {
     Pulse(Pulse),
+    /// To one who asks: how far the disk of the life `of` had come, as far as `who` ever heard. `life` is the
+    /// asking process as it named itself.
+    Recall {
+        who: Member,
+        of: MemberId,
+        life: u64,
+        mark: Mark,
+    },
     /// A later view, to one who isn't in it or votes in an older one.
     Told {
         base: Base,
@@ -213,6 +266,70 @@
     pub lease: Nanos,
 }
 
+/// Why a registrar does not count in the view now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Lack {
+    /// Not heard for `suspect_after`, or it does not hear this one.
+    Silent,
+    /// Another life of a disk speaks at its address.
+    Replaced,
+    /// Its disk hangs or refuses, by its own word.
+    DiskNotWell,
+    /// It did not store in time what it was sent.
+    TooSlow,
+    /// It started from a disk, and waits for word of what had come from it before.
+    Asks,
+    /// It has not yet what the view holds.
+    CatchingUp,
+    /// It is in touch with this one, but not with all in the view.
+    NotWithAll,
+}
+
+/// A registrar's place in the view or beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Seat {
+    pub member: Member,
+    /// Stores every change.
+    pub inside: bool,
+    /// Votes on the next view.
+    pub votes: bool,
+    /// None: it counts.
+    pub lack: Option<Lack>,
+}
+
+/// How the view stands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Standing {
+    pub no: ViewNo,
+    /// Changes are taken in it.
+    pub in_force: bool,
+    pub seats: Vec<Seat>,
+    /// So many disks more may be lost for good, at once and now, with nothing acknowledged lost and no order of an
+    /// operator needed to go on.
+    pub losses_borne: usize,
+}
+
+/// Why a view is not forced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ForceError {
+    #[error("a majority of the voters is heard: the view changes by itself")]
+    MajorityHeard,
+    #[error("{0} is named as lost, and is heard")]
+    Heard(SocketAddrV4),
+    #[error("{0} votes, is not heard, and is not named as lost")]
+    NotNamed(SocketAddrV4),
+    #[error("{0} knows more: force the view there")]
+    KnowsMore(SocketAddrV4),
+    #[error("this registrar was never in a view, or has lost its disk")]
+    HoldsNothing,
+    #[error("the disk of this registrar is not well")]
+    DiskNotWell,
+    #[error("this registrar has not listened for long enough yet")]
+    Listening,
+    #[error("no numbers are left for another forced view")]
+    NoNumber,
+}
+
 /// What the host is to do.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Order {
@@ -246,6 +363,12 @@
     },
     /// This member is in no view any more; it asks to be let in again by itself.
     Left,
+    /// The disk was an older copy of itself, or a forced view has closed it out: this member goes on as a new one
+    /// with an empty disk, and asks to be let in.
+    Renewed {
+        was: MemberId,
+        me: MemberId,
+    },
     /// A majority of the voters stood in the view, not stopped, after the inquiry was made, and all that was taken
     /// before it has been delivered here.
     Confirmed {
@@ -271,6 +394,14 @@
     ForgetVouched,
     /// A sequencer goes on after a restart as if it had sent nothing.
     SequenceAgain,
+    /// An older copy of a disk is taken for the disk.
+    OldCopyVotes,
+    /// One that joins counts before it has what the view begins with.
+    JoinerCounts,
+    /// Where a view began is guessed when it is not remembered any more.
+    FloorGuessed,
+    /// A forced view has the next number, and closes nobody out.
+    UnfencedForce,
     /// An inquiry is confirmed by the member's own state.
     ConfirmAlone,
     /// One that has stopped confirms the view all the same.
--- a/crates/fernknot-views/tests/common/mod.rs
+++ b/crates/fernknot-views/tests/common/mod.rs
@@ -18,6 +18,11 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, n), 7000)
 }
 
+/// So many times the usual seeds are played: FERNKNOT_MORE_SEEDS, or once.
+pub fn more_seeds() -> u64 {
+    std::env::var("FERNKNOT_MORE_SEEDS").ok().and_then(|told| told.parse().ok()).unwrap_or(1)
+}
+
 pub struct Chance(pub u64);
 
 impl Chance {
@@ -31,15 +36,27 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Disk {
     Well,
+    /// A sync takes a good part of the time after which one is suspected.
+    Slow,
     Hangs,
     Full,
 }
 
+impl Disk {
+    fn writes(self) -> bool {
+        matches!(self, Disk::Well | Disk::Slow)
+    }
+}
+
 /// A machine: its disk outlives its process.
 pub struct Machine {
     pub addr: SocketAddrV4,
     pub id: MemberId,
     pub saved: Option<Saved>,
+    /// All that was ever whole on the disk of this life.
+    pub copies: Vec<Saved>,
+    /// Lives that gave themselves up.
+    pub renewed: Vec<MemberId>,
     pub disk: Disk,
     pub views: Option<Views>,
     pub life: u64,
@@ -84,6 +101,10 @@
     inquiries: u64,
     pub confirmed: u64,
     pub words: u64,
+    /// Of all words, sent once.
+    pub bytes: u64,
+    /// A state has at least so many.
+    pub state_bytes: usize,
     pub syncs: u64,
     pub broken: Option<String>,
 }
@@ -114,6 +135,8 @@
             inquiries: 0,
             confirmed: 0,
             words: 0,
+            bytes: 0,
+            state_bytes: 0,
             syncs: 0,
             broken: None,
         };
@@ -130,6 +153,8 @@
             addr,
             id: MemberId(self.ids),
             saved: None,
+            copies: Vec::new(),
+            renewed: Vec::new(),
             disk: Disk::Well,
             views: None,
             life: 0,
@@ -188,7 +213,25 @@
         if let Some(saved) = under_way.pop()
             && self.chance.draw(2) == 0
         {
-            self.machines[at].saved = Some(saved);
+            self.keep(at, saved);
+        }
+    }
+
+    fn keep(&mut self, at: usize, saved: Saved) {
+        let machine = &mut self.machines[at];
+        machine.copies.retain(|copy| copy.me == saved.me);
+        machine.copies.push(saved.clone());
+        machine.saved = Some(saved);
+    }
+
+    /// The process dies, and its disk goes back by so many writes: a restored folder, or syncs that lied.
+    pub fn restore(&mut self, at: usize, writes: usize) {
+        self.kill(at);
+        let machine = &mut self.machines[at];
+        let left = machine.copies.len().saturating_sub(writes).max(1);
+        machine.copies.truncate(left);
+        if let Some(copy) = machine.copies.last() {
+            machine.saved = Some(copy.clone());
         }
     }
 
@@ -196,6 +239,7 @@
         self.kill(at);
         self.ids += 1;
         self.machines[at].saved = None;
+        self.machines[at].copies.clear();
         self.machines[at].id = MemberId(self.ids);
     }
 
@@ -221,16 +265,16 @@
         let held: Vec<_> = self.machines[at].held_writes.drain(..).collect();
         let now = Nanos(self.now);
         for (ticket, saved) in held {
-            let ok = disk == Disk::Well;
+            let ok = disk.writes();
             if ok {
-                self.machines[at].saved = Some(saved);
+                self.keep(at, saved);
             }
             if let Some(views) = &mut self.machines[at].views {
                 views.stored(now, ticket, ok);
             }
         }
         if let Some(views) = &mut self.machines[at].views {
-            views.disk_ok(now, disk == Disk::Well);
+            views.disk_ok(now, disk.writes());
         }
         self.serve(at);
     }
@@ -266,6 +310,7 @@
                     self.words += 1;
                     let from = self.machines[at].addr;
                     let bytes = bitcode::encode(&word);
+                    self.bytes += bytes.len() as u64;
                     let times = if self.chance.draw(1000) < self.double { 2 } else { 1 };
                     for _ in 0..times {
                         if self.chance.draw(1000) < self.lose || self.cuts.contains(&(from, to)) {
@@ -281,8 +326,10 @@
                 Order::Store { ticket, saved } => {
                     self.syncs += 1;
                     match self.machines[at].disk {
-                        Disk::Well => {
-                            let after = MS + self.chance.draw(4 * MS);
+                        Disk::Well | Disk::Slow => {
+                            let slow = self.machines[at].disk == Disk::Slow;
+                            let sync = if slow { SUSPECT / 4 } else { 4 * MS };
+                            let after = MS + self.chance.draw(sync);
                             self.push(after, Event::Stored { at, life, ticket, saved: Box::new(saved) });
                         }
                         Disk::Hangs => self.machines[at].held_writes.push((ticket, saved)),
@@ -360,6 +407,10 @@
                     }
                 }
                 Order::Left => {}
+                Order::Renewed { was, me } => {
+                    self.machines[at].id = me;
+                    self.machines[at].renewed.push(was);
+                }
                 Order::Wake { after } => self.push(after.0 + 1000, Event::Wake { at, life }),
             }
         }
@@ -406,9 +457,9 @@
                 if self.machines[at].disk == Disk::Hangs {
                     return self.machines[at].held_writes.push((ticket, *saved));
                 }
-                let ok = self.machines[at].disk == Disk::Well;
+                let ok = self.machines[at].disk.writes();
                 if ok {
-                    self.machines[at].saved = Some(*saved);
+                    self.keep(at, *saved);
                 }
                 if let Some(views) = &mut self.machines[at].views {
                     views.stored(now, ticket, ok);
@@ -426,6 +477,14 @@
         }
     }
 
+    /// Cuts one off from all others, both ways.
+    pub fn cut_off(&mut self, one: usize) {
+        for other in (0..self.machines.len()).filter(|other| *other != one) {
+            let (a, b) = (self.machines[one].addr, self.machines[other].addr);
+            self.cuts.extend([(a, b), (b, a)]);
+        }
+    }
+
     /// Loses all words that are on their way.
     pub fn drop_words(&mut self) {
         self.events.retain(|_, event| !matches!(event, Event::Word { .. }));
@@ -449,7 +508,8 @@
         let views = self.machines[at].views.as_mut().filter(|views| views.is_sequencer() && !frozen)?;
         let (base, _) = views.delivered()?;
         let proposal = self.proposals.len() as u64 + 1;
-        let state = proposal.to_be_bytes().to_vec();
+        let mut state = proposal.to_be_bytes().to_vec();
+        state.resize(self.state_bytes.max(state.len()), 7);
         self.proposals.insert(proposal, state.clone());
         views.propose(Nanos(self.now), proposal, base, state);
         self.serve(at);
@@ -525,6 +585,8 @@
     /// A disk is lost, alone or while all others lose power.
     Wipe(usize, bool),
     Replace(usize),
+    /// A disk goes back by some writes, alone or while all others lose power.
+    Restore(usize, usize, bool),
     Cut(usize, usize),
     Mend,
     Freeze(usize),
@@ -563,6 +625,14 @@
                     self.replace(at % count);
                 }
             }
+            Trouble::Restore(at, writes, all) => {
+                if self.may_lose_a_disk() {
+                    self.restore(at % count, writes);
+                    if all {
+                        (0..count).filter(|other| *other != at % count).for_each(|other| self.kill(other));
+                    }
+                }
+            }
             Trouble::Cut(a, b) => {
                 let (a, b) = (self.machines[a % count].addr, self.machines[b % count].addr);
                 self.cuts.insert((a, b));
