--- a/crates/fernknot-flume/src/world.rs
+++ b/crates/fernknot-flume/src/world.rs
@@ -133,6 +133,8 @@
     pub removed: bool,
     inbox: VecDeque<Input>,
     disk: Disk,
+    /// When one that was told to stop is killed.
+    stops_by: Nanos,
     pub slow_link: bool,
     pub answers_lost: bool,
     /// Troubles that make it count as lost.
@@ -268,6 +270,7 @@
                 under_way: Vec::new(),
                 sound: true,
             },
+            stops_by: Nanos(0),
             slow_link: false,
             answers_lost: false,
             troubles: 0,
@@ -477,6 +480,8 @@
         let Some(brain) = &mut self.machines[at].brain else { return };
         brain.stop(local);
         let life = self.machines[at].life;
+        // A quarter of `grace_s`.
+        self.machines[at].stops_by = self.now + ms(1500);
         self.say(|| format!("{at} is told to stop"));
         self.follow(at);
         self.later(ms(20), Event::StopLook(at, life));
@@ -488,8 +493,7 @@
             return;
         }
         let Some(brain) = &machine.brain else { return };
-        // A quarter of `grace_s` at most.
-        if brain.may_end() || self.now - machine.touched > ms(1500) {
+        if brain.may_end() || self.now >= machine.stops_by {
             self.end(at, false);
         } else {
             self.later(ms(20), Event::StopLook(at, life));
