--- a/crates/fernknot-headworks/src/registrar.rs
+++ b/crates/fernknot-headworks/src/registrar.rs
@@ -1198,6 +1198,9 @@
         let id = fact.id.clone();
         match self.noted(id.clone(), |registry, now| registry.beat(now, fact)) {
             NodeHeard::Noted if state == NodeState::Draining => self.leaves(id, slot),
+            // It lives, whoever hears it; but the others must hear it too. Guards against nodes that beat on where a
+            // registrar is cut off from its like alone, and are lost to the majority and its gateways.
+            NodeHeard::Noted if self.is_cut_off() => Some(NodeHeard::No(CUT_OFF)),
             heard => Some(heard),
         }
     }
