--- a/crates/fernknot-sluice/src/gateway.rs
+++ b/crates/fernknot-sluice/src/gateway.rs
@@ -15,11 +15,11 @@
 use fernknot_config::{Limits, SocketFacts};
 use fernknot_duties::{Gateway as Me, LifeId, doubt};
 use fernknot_engine::{AskerId, Engine, Order};
-use fernknot_intake::{Plan, ProcessFacts};
+use fernknot_intake::{ClientLimits, Plan, ProcessFacts};
 use fernknot_overlay::{Descriptor, Role};
 use fernknot_penstock::{Berth, Event, Ports};
 use fernknot_registry::{NodeFact, Pool, PoolBounds};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -31,8 +31,12 @@
 const AWAY: f64 = 1.0 / 6.0;
 /// Views are shuffled once in so many times `contact_ms`.
 const SHUFFLE: f64 = 2.0;
+/// Names of services are looked through once in so many times `contact_ms`.
+const NAMES: f64 = 2.0;
 /// A connection to a node that is not up by this share of `drain_cutoff_ms` is given up.
 const OPENS: f64 = 0.25;
+/// The part of the memory that bodies of clients may take while they come.
+const BODIES: f64 = 1.0 / 8.0;
 /// The readiness calls that the platform may need to hear that a gateway leaves, with a little more.
 const UNREADY: Nanos = Nanos(2_600_000_000);
 
@@ -63,6 +67,8 @@
     SameLineAgain,
     /// A connection that was up and is gone counts as one that never came up.
     GoneIsUnopened,
+    /// A request whose connection was up and is gone counts as one that was never sent, once it is broken off.
+    PromiseAfterGone,
     /// An answer whose end no head tells counts as whole.
     CutShortIsWhole,
     /// Of pipelined requests all are taken in hand at once.
@@ -91,7 +97,8 @@
     lines: Lines,
     names: Names,
     pool: Pool,
-    nodes: HashMap<String, (NodeId, Health)>,
+    /// What the module was told of the lives of each service.
+    nodes: HashMap<ShardId, BTreeMap<String, (NodeId, Health)>>,
     next_node: u32,
     pinned: Option<Rc<Pinned>>,
     mains: Mains,
@@ -102,6 +109,7 @@
     line_idle: Nanos,
     stopping: Option<Nanos>,
     tidy_at: Nanos,
+    names_at: Nanos,
     turned: Nanos,
     reread_at: Nanos,
     wants_seeds: bool,
@@ -115,6 +123,7 @@
     unrouted: u64,
     unplanned: u64,
     bad: u64,
+    crowded: u64,
     strays: u64,
     spoilt: u64,
     lines_opened: u64,
@@ -184,6 +193,7 @@
             line_idle: Nanos::from_millis(4000.0),
             stopping: None,
             tidy_at: Nanos(0),
+            names_at: Nanos(0),
             turned: Nanos(0),
             reread_at: Nanos(0),
             wants_seeds: false,
@@ -253,10 +263,10 @@
         }
         ports.stop_listening(self.doors.front);
         for berth in self.clients.idle() {
-            self.clients.held.remove(&berth);
+            self.clients.remove(berth);
             ports.close(berth);
         }
-        self.asks.is_empty() && self.clients.held.values().all(|client| client.door == Door::Ready)
+        self.asks.is_empty() && self.clients.all().all(|client| client.door == Door::Ready)
     }
 
     fn is_ready(&self) -> bool {
@@ -269,12 +279,13 @@
             Event::Accepted { berth, at, .. } => {
                 let door = if at == self.doors.front { Door::Front } else { Door::Ready };
                 debug_assert!(at == self.doors.front || at == self.doors.ready);
-                self.clients.held.insert(berth, Client::new(door, now));
+                let client = Client::new(door, now, self.idle());
+                self.clients.add(berth, client);
             }
             Event::Opened { .. } => {}
             Event::Came { berth } => self.came(now, berth, false, ports),
             Event::Ended { berth } => {
-                if self.clients.held.contains_key(&berth) {
+                if self.clients.has(berth) {
                     self.client_gone(now, berth, ports);
                 } else {
                     self.came(now, berth, true, ports);
@@ -287,6 +298,7 @@
             Event::Gone { berth, opened, why } => {
                 if self.lines.is_line(berth) {
                     log::debug!(target: "line", "{why}");
+                    self.line_rest(now, berth, ports);
                     let may_have_run = opened && self.plant != Some(Plant::AgainAfterReset);
                     let outcome = if may_have_run { Outcome::Broken } else { Outcome::Unreachable };
                     self.line_lost(now, berth, outcome, ports);
@@ -446,7 +458,7 @@
                     must_ask: false,
                     peers: false,
                     by_work: false,
-                    zone: Some(self.zone(&self.facts.zone.clone())),
+                    zone: Some(zone_of(&self.facts, &self.facts.zone)),
                     // What a client waits for tells when it first asked, but a late answer still earns something.
                     marks_repeats: true,
                     // One that is refused twice costs a third of its worth, and a late answer earns as much.
@@ -461,26 +473,37 @@
         self.relist_all(now, ports);
     }
 
-    fn zone(&self, name: &str) -> ZoneId {
-        let place = self.facts.zones.keys().position(|zone| zone == name);
-        ZoneId(place.map_or(u32::MAX, |place| place as u32))
+    /// Bytes that bodies of all clients together may take while they come; one that the version in force allows always
+    /// may.
+    fn most_in_part(&self) -> usize {
+        let most = (self.facts.limits.memory_mb * f64::from(1 << 20) * BODIES) as usize;
+        most.max(self.limits.body)
     }
+
+    /// How long connections of clients may rest by the version in force.
+    fn idle(&self) -> Nanos {
+        let held = self.pinned.as_ref().map(|pinned| pinned.plan.limits.idle_ms);
+        Nanos::from_millis(held.unwrap_or(ClientLimits::default().idle_ms) as f64)
+    }
+
     fn count(&self, now: Nanos) -> String {
         let counters = &self.counters;
         let mut text = format!(
-            "requests {}\nunrouted {}\nunplanned {}\nbad {}\nstrays {}\nspoilt {}\nlines_opened {}\nstrangers {}\n\
-             in_hand {}\nlines {}\nnodes {}\nversion {}\n",
+            "requests {}\nunrouted {}\nunplanned {}\nbad {}\ncrowded {}\nstrays {}\nspoilt {}\nlines_opened {}\nstrangers {}\n\
+             in_hand {}\nlines {}\nnodes {}\nservices {}\nversion {}\n",
             counters.requests,
             counters.unrouted,
             counters.unplanned,
             counters.bad,
+            counters.crowded,
             counters.strays,
             counters.spoilt,
             counters.lines_opened,
             counters.strangers,
             self.asks.len(),
             self.lines.len(),
-            self.nodes.len(),
+            self.nodes.values().map(BTreeMap::len).sum::<usize>(),
+            self.names.services(),
             self.pinned.as_ref().map_or(0, |pinned| pinned.plan.epoch),
         );
         let old = Nanos::from_millis(self.facts.bounds.drain_cutoff_ms);
@@ -518,6 +541,9 @@
             }
             Order::Abandon { part, no, outcome } => {
                 if let Some(berth) = self.lines.carrier(part, no) {
+                    if ports.is_opening(berth) {
+                        self.never_opened(part, berth);
+                    }
                     self.lines.lost(berth);
                     ports.close(berth);
                 }
@@ -549,17 +575,16 @@
         let waiting = self.lines.carrying(None, now - opens);
         self.give_up_unopened(now, waiting, ports);
         let limits = self.pinned.as_ref().map(|pinned| &pinned.plan.limits);
-        let span = |ms: Option<u64>, default: f64| Nanos::from_millis(ms.map_or(default, |ms| ms as f64));
-        let idle = span(limits.map(|limits| limits.idle_ms), 15_000.0);
-        let sending = span(limits.map(|limits| limits.header_ms), 3_000.0).times(2.0);
-        for (berth, coming) in self.clients.overdue(now, idle, sending) {
+        let header_ms = limits.map_or(ClientLimits::default().header_ms, |limits| limits.header_ms);
+        let sending = Nanos::from_millis(header_ms as f64).times(2.0);
+        for (berth, coming) in self.clients.overdue(now, self.idle(), sending) {
             if coming {
-                if let Some(client) = self.clients.held.get_mut(&berth) {
+                if let Some(client) = self.clients.get_mut(berth) {
                     client.keep = false;
                 }
                 self.say(now, berth, 408, None, b"the request did not come whole in time\n", ports);
             } else {
-                self.clients.held.remove(&berth);
+                self.clients.remove(berth);
                 ports.close(berth);
             }
         }
@@ -578,7 +603,31 @@
         }
         self.pool.expire(now);
         self.relist(now, ports);
+        if now >= self.names_at {
+            self.names_at = now + Nanos::from_millis(self.facts.bounds.contact_ms).times(NAMES);
+            self.give_up_names(now);
+        }
     }
+
+    /// Gives up the numbers of services that no version names which is in force or which a request in hand was taken
+    /// under, and of which neither the list nor the module knows any node.
+    fn give_up_names(&mut self, now: Nanos) {
+        let Some(pinned) = &self.pinned else { return };
+        let mut versions = BTreeMap::from([(pinned.order, pinned)]);
+        self.asks.values().for_each(|ask| _ = versions.entry(ask.pinned.order).or_insert(&ask.pinned));
+        let named = versions.values().flat_map(|pinned| pinned.services());
+        let listed = self.pool.services();
+        let in_use: HashSet<&str> = named.chain(listed).collect();
+        // What was spent on further tries of a service counts by its number, in this window and the one before.
+        let keep = Nanos::from_millis(self.facts.bounds.retry_window_s * 1e3).times(2.0);
+        self.names.give_up(now, keep, |service| in_use.contains(service));
+    }
+}
+
+/// The module's number for a zone.
+fn zone_of(facts: &ProcessFacts, name: &str) -> ZoneId {
+    let place = facts.zones.keys().position(|zone| zone == name);
+    ZoneId(place.map_or(u32::MAX, |place| place as u32))
 }
 
 /// Connections that a gateway with these settings may have at once, of all kinds.
--- a/crates/fernknot-sluice/tests/callers.rs
+++ b/crates/fernknot-sluice/tests/callers.rs
@@ -2,6 +2,7 @@
 //! runs how often. `FERNKNOT_SEEDS` sets how many seeds are played, `FERNKNOT_SEED` plays one and prints its log.
 
 mod stage;
+mod stories;
 
 use fernknot_sluice::Plant;
 use stage::Report;
@@ -17,7 +18,7 @@
 const WITHIN: u64 = 10;
 
 /// What has to have happened over all seeds.
-const HAPPENS: [&str; 23] = [
+const HAPPENS: [&str; 24] = [
     "successes",
     "promises",
     "told 408",
@@ -33,6 +34,7 @@
     "surplus answers",
     "earlier answers again",
     "connections broken by nodes",
+    "whole answers before a reset",
     "restarts of nodes",
     "crashes told in one turn",
     "changes",
@@ -110,6 +112,7 @@
 #[test_case(Plant::PromiseAfterHandOff; "a promise is made though a node may have run it")]
 #[test_case(Plant::SameLineAgain; "a request goes again over a connection that carried it")]
 #[test_case(Plant::GoneIsUnopened; "a connection that is gone counts as one that never came up")]
+#[test_case(Plant::PromiseAfterGone; "a promise is made though the connection was up")]
 #[test_case(Plant::CutShortIsWhole; "an answer cut short counts as whole")]
 #[test_case(Plant::PipelinedAtOnce; "pipelined requests are answered in any order")]
 fn given_a_planted_break_when_seeds_are_played_then_it_is_found(plant: Plant) {
--- a/crates/fernknot-views/src/types.rs
+++ b/crates/fernknot-views/src/types.rs
@@ -279,6 +279,8 @@
     TooSlow,
     /// It started from a disk, and waits for word of what had come from it before.
     Asks,
+    /// Its disk is an older copy of itself, or not well.
+    OlderCopy,
     /// It has not yet what the view holds.
     CatchingUp,
     /// It is in touch with this one, but not with all in the view.
@@ -396,6 +398,8 @@
     SequenceAgain,
     /// An older copy of a disk is taken for the disk.
     OldCopyVotes,
+    /// An older copy gives itself up as soon as it hears that it is one.
+    GivesUpAtOnce,
     /// One that joins counts before it has what the view begins with.
     JoinerCounts,
     /// Where a view began is guessed when it is not remembered any more.
