--- /dev/null
+++ b/crates/fernknot-flume/tests/plants.rs
@@ -0,0 +1,47 @@
+//! Breaks planted on purpose: each is found within a stated number of seeds.
+
+use fernknot_flume::play::{Facts, Plant, play};
+use fernknot_headworks::Plant as Own;
+use fernknot_views::Plant as Views;
+use std::ops::Range;
+use test_case::test_case;
+
+/// Whether any of these seeds shows the break.
+fn is_found(plant: Plant, beyond: bool, mut seeds: Range<u64>) -> bool {
+    seeds.any(|seed| {
+        let findings = play(&Facts { plant: Some(plant), beyond, ..Facts::new(seed, 3) }).findings;
+        if let Some(finding) = findings.iter().find(|finding| finding.rule != "UNDECIDED") {
+            println!("{plant:?}: seed {seed}, {}", finding.rule);
+        }
+        findings.iter().any(|finding| finding.rule != "UNDECIDED")
+    })
+}
+
+#[test_case(Plant::DiskAcksEarly, 0..100; "a disk that says too early that it has stored")]
+#[test_case(Plant::OldFolder, 0..30; "an older copy of a folder")]
+#[test_case(Plant::ClearsUnclear, 0..10; "an unclear end told as a good one")]
+#[test_case(Plant::StaleReads, 0..10; "a read from a store of old answers")]
+#[test_case(Plant::RefusesRepeats, 0..10; "a refusal of what was acknowledged")]
+#[test_case(Plant::KeepsDrains, 0..10; "registrars that don't tell each other of nodes")]
+#[test_case(Plant::SwapsAnswers, 0..10; "an answer to another caller")]
+#[test_case(Plant::GoesBack, 0..10; "an older plan told as the newest")]
+#[test_case(Plant::Registrar(Own::OwnState), 0..10; "answers by own state")]
+#[test_case(Plant::Registrar(Own::ForgetEarly), 0..20; "refusals past a short history")]
+#[test_case(Plant::Registrar(Own::Views(Views::OneDisk)), 0..20; "one disk for all")]
+#[test_case(Plant::Registrar(Own::Views(Views::SequenceAgain)), 0..60; "a sequencer that goes on after its restart")]
+#[test_case(Plant::Registrar(Own::Views(Views::ReadDelivered)), 0..100; "reads of what was delivered")]
+#[test_case(Plant::Registrar(Own::Views(Views::ConfirmAlone)), 140..400; "a confirmation without the others")]
+fn given_a_break_when_seeds_within_the_budget_are_played_then_it_is_found(plant: Plant, seeds: Range<u64>) {
+    assert!(is_found(plant, false, seeds.clone()), "{plant:?} is not found in {seeds:?}");
+}
+
+/// Breaks of rules that bear more than the budget show soonest where more is lost. Each search begins near the first
+/// seed that shows its break, so that it is short: docs/flume.md has the counts from 0.
+#[test_case(Plant::Registrar(Own::Views(Views::WordBeforeDisk)), 20..200; "a word before the disk")]
+#[test_case(Plant::Registrar(Own::Views(Views::EmptyVotes)), 100..400; "an empty disk's vote")]
+#[test_case(Plant::Registrar(Own::Views(Views::ForgetVouched)), 290..600; "a vouched view forgotten")]
+#[test_case(Plant::Registrar(Own::Views(Views::ConfirmStopped)), 760..1100; "a stopped voter's confirmation")]
+#[test_case(Plant::Registrar(Own::AnyLife), 970..1300; "an answer to an earlier life")]
+fn given_a_break_when_more_is_lost_than_the_budget_then_it_is_found(plant: Plant, seeds: Range<u64>) {
+    assert!(is_found(plant, true, seeds.clone()), "{plant:?} is not found in {seeds:?}");
+}
