--- a/crates/fernknot-headworks/tests/worst_days.rs
+++ b/crates/fernknot-headworks/tests/worst_days.rs
@@ -5,7 +5,7 @@
 use common::{Fleet, SYNC, WAY, Writes, ms, plan};
 use fernknot::interface::Nanos;
 use fernknot_conduit::{Outward, Share};
-use fernknot_headworks::Plant;
+use fernknot_headworks::{Control, Plant, Taken};
 use fernknot_registry::NodeState;
 use fernknot_views::Plant as ViewsPlant;
 use test_case::test_case;
@@ -294,3 +294,20 @@
     assert!(took <= takes + Nanos(50_000), "{took:?}");
     assert_eq!(said, words);
 }
+
+#[test]
+fn given_ten_thousand_versions_when_the_state_goes_to_disk_then_its_history_is_bounded() {
+    let (mut control, mut chance) = (Control::default(), 1u64);
+    let mut sizes = Vec::new();
+    for version in 1..=10_000u64 {
+        chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let taken = Taken { epoch: 3 * version, base: control.epoch, digest: chance };
+        control = control.with(taken, Vec::new());
+        if [1, 100, 1_024, 10_000].contains(&version) {
+            sizes.push(control.write().len());
+        }
+    }
+    println!("bytes of history after 1, 100, 1,024 and 10,000 versions: {sizes:?}");
+    assert!(sizes[3] <= sizes[2] + 64 && sizes[3] < 25 * 1024);
+    assert_eq!(control.horizon(), 3 * (10_000 - 1_024));
+}
