Share a budget so that no window holds more than the whole, not only no moment

Change: who is lost, or has left, counts for unconfirmed + window; a newcomer waits as long, but where the first cut ever made names it; one that stops takes no share.

--- a/crates/fernknot-duties/src/holder.rs
+++ b/crates/fernknot-duties/src/holder.rs
@@ -12,8 +12,10 @@
     /// The old holder serves on for so long at most, until the new one says that it has the key.
     pub hand_over: Nanos,
     /// A gateway whose cut was not confirmed for so long takes no share of a budget: those who come meanwhile are not
-    /// in its count. Half of [`crate::KeeperBounds::doubt`].
+    /// in its count. [`crate::unconfirmed`].
     pub unconfirmed: Nanos,
+    /// The span over which a budget counts what was spent.
+    pub window: Nanos,
 }
 
 /// What became of a cut.
@@ -80,6 +82,9 @@
     /// When a hand-over ends at the latest.
     check_at: Option<Nanos>,
     confirmed: Option<Nanos>,
+    /// The first cut that was ever made named this gateway: nobody had a share before.
+    founding: bool,
+    leaving: bool,
 }
 
 impl Holder {
@@ -96,6 +101,8 @@
             counted_since: None,
             check_at: None,
             confirmed: None,
+            founding: false,
+            leaving: false,
         }
     }
 
@@ -142,7 +149,10 @@
             return;
         }
         let gap = self.confirmed.is_none_or(|at| now - at > self.bounds.unconfirmed);
-        if self.cut.find(self.me).is_none() {
+        // Views and the cuts in one are counted from 1, and either number is given once.
+        let named = self.cut.find(self.me).is_some();
+        self.founding = named && (fence == Fence::of(1, 1) || self.founding && !gap);
+        if !named {
             self.counted_since = None;
         } else if gap || self.counted_since.is_none() {
             self.counted_since = Some(now);
@@ -155,10 +165,19 @@
         fence >= self.cut.fence
     }
 
+    /// Stops as planned: takes no share of a budget from here on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
     /// By how many gateways a budget is shared. None while this gateway may take no share: not counted long enough
-    /// for all others to know, or not confirmed for too long, so that others may have stopped counting it.
+    /// for all others to know and for what they spent before to be out of the window, not confirmed for too long, so
+    /// that others may have stopped counting it, or leaving.
     pub fn shared_by(&self, now: Nanos) -> Option<u32> {
-        let counted = self.counted_since.is_some_and(|since| now - since >= self.bounds.unconfirmed);
+        // Guards the sum over any window, not only at any moment: others had a larger share until they knew.
+        let window = if self.founding { Nanos(0) } else { self.bounds.window };
+        let wait = self.bounds.unconfirmed + window;
+        let counted = self.counted_since.is_some_and(|since| now - since >= wait) && !self.leaving;
         let confirmed = self.confirmed.is_some_and(|at| now - at < self.bounds.unconfirmed);
         (counted && confirmed).then_some(self.cut.may_be_alive.max(1))
     }
--- a/crates/fernknot-duties/src/keeper.rs
+++ b/crates/fernknot-duties/src/keeper.rs
@@ -18,14 +18,21 @@
 pub struct KeeperBounds {
     /// Gateways known at once.
     pub most_gateways: usize,
-    /// How long a gateway that is unheard may be alive all the same; twice [`crate::HolderBounds::unconfirmed`].
+    /// How long a gateway that is unheard, or has left, counts for a budget; [`crate::HolderBounds::unconfirmed`] and
+    /// [`crate::HolderBounds::window`] together.
     pub doubt: Nanos,
 }
 
-/// How long a gateway that is unheard counts as one that may be alive: twice the span after which all are in touch
-/// again, ten beats at least, and never less than the window of a budget, within which what it spent still counts.
+/// How long a gateway takes its share without word that its cut is the newest: the span after which all are in touch
+/// again, five beats at least.
+pub fn unconfirmed(contact: Nanos, beat: Nanos) -> Nanos {
+    contact.max(beat.times(5.0))
+}
+
+/// How long a gateway that is unheard counts as one that may be alive: until it takes no share any more, and what it
+/// spent is out of the window of a budget.
 pub fn doubt(contact: Nanos, window: Nanos, beat: Nanos) -> Nanos {
-    contact.times(2.0).max(window).max(beat.times(10.0))
+    unconfirmed(contact, beat) + window
 }
 
 #[derive(Clone, Debug)]
@@ -134,11 +141,12 @@
         self.listening_since = Some(self.now);
     }
 
-    /// How many gateways may be alive: those heard, and those unheard for less than the doubt. For sharing a budget.
+    /// How many gateways may be alive, or were so lately that what they spent still counts: those heard, those unheard
+    /// for less than the doubt, and those that left. For sharing a budget.
     pub fn may_be_alive(&mut self, now: Nanos) -> usize {
         self.tick(now);
         let floor = if now < self.floor.1 { self.floor.0 as usize } else { 0 };
-        self.known.len().max(floor)
+        (self.known.len() + self.left.len()).max(floor)
     }
 
     /// A cut was made by another registrar, or before a restart: fences go on from it, and who lives by it does so
--- a/crates/fernknot-duties/src/lib.rs
+++ b/crates/fernknot-duties/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use cut::{Cut, CutChange, Fence, Gateway, LifeId, key_hash, scatter};
 pub use holder::{Holder, HolderBounds, Order, Standing, Taken};
-pub use keeper::{Keeper, KeeperBounds, doubt};
+pub use keeper::{Keeper, KeeperBounds, doubt, unconfirmed};
--- a/crates/fernknot-duties/tests/common/mod.rs
+++ b/crates/fernknot-duties/tests/common/mod.rs
@@ -6,6 +6,9 @@
 
 pub const BEAT: Nanos = Nanos(1_000_000_000);
 
+/// The span over which a budget counts what was spent.
+pub const WINDOW: Nanos = Nanos(10_000_000_000);
+
 /// A time in beats.
 pub fn at(beats: f64) -> Nanos {
     BEAT.times(beats)
@@ -22,10 +25,10 @@
 }
 
 pub fn keeper() -> Keeper {
-    Keeper::new(BEAT, KeeperBounds { most_gateways: 5_000, doubt: at(20.0) })
+    Keeper::new(BEAT, KeeperBounds { most_gateways: 5_000, doubt: at(15.0) })
 }
 
 pub fn holder(life: u64) -> Holder {
-    let bounds = HolderBounds { most_keys: 500, hand_over: at(2.0), unconfirmed: at(10.0) };
+    let bounds = HolderBounds { most_keys: 500, hand_over: at(2.0), unconfirmed: at(5.0), window: WINDOW };
     Holder::new(LifeId(life), None, bounds)
 }
--- a/crates/fernknot-duties/tests/duties.rs
+++ b/crates/fernknot-duties/tests/duties.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use assert_matches::assert_matches;
-use common::{at, cut, gateway, holder, keeper};
+use common::{WINDOW, at, cut, gateway, holder, keeper};
+use fernknot::interface::Nanos;
 use fernknot_duties::{Cut, CutChange, Fence, Holder, LifeId, Order, Standing, Taken};
 use proptest::prelude::*;
 
@@ -182,11 +183,11 @@
         let _ = bitcode::decode::<Cut>(&bytes);
     }
 
-    /// Gateways start, die, are cut off either way and come back; the sequencer restarts: the shares that they take
-    /// of a budget never sum to more than the whole.
+    /// Gateways start, die, leave, are cut off either way and come back; the sequencer restarts. Each spends all that it
+    /// may at once: neither their shares at any moment nor what they spent in any window is more than the whole.
     #[test]
-    fn whatever_happens_the_shares_never_sum_to_more_than_one(
-        events in prop::collection::vec((0..8usize, 0..5u8), 40..160),
+    fn whatever_happens_no_more_than_the_whole_is_shared_or_spent(
+        events in prop::collection::vec((0..8usize, 0..6u8), 40..160),
     ) {
         #[derive(Clone, Copy, PartialEq)]
         enum Link { Dead, Up, Deaf, Mute, Cut }
@@ -194,8 +195,13 @@
         let mut holders: Vec<Holder> = (0..8).map(holder).collect();
         let mut links = [Link::Up; 8];
         let (mut lives, mut view) = (8, 1);
+        let mut spent: Vec<(Nanos, LifeId, f64)> = Vec::new();
         for (tick, (which, what)) in events.into_iter().enumerate() {
-            let change = [Link::Dead, Link::Up, Link::Deaf, Link::Mute, Link::Cut][what as usize];
+            let change = [Link::Dead, Link::Up, Link::Deaf, Link::Mute, Link::Cut, Link::Dead][what as usize];
+            if what == 5 && links[which] == Link::Up {
+                holders[which].leave();
+                keeper.left(at(tick as f64), holders[which].me());
+            }
             if links[which] == Link::Dead && change != Link::Dead {
                 holders[which] = holder(lives);
                 lives += 1;
@@ -223,8 +229,18 @@
                     }
                 }
                 let taking = holders.iter().zip(&links).filter(|(_, link)| **link != Link::Dead);
-                let sum: f64 = taking.filter_map(|(holder, _)| holder.shared_by(now)).map(|by| 1.0 / by as f64).sum();
+                let shares: Vec<(LifeId, f64)> = taking
+                    .filter_map(|(holder, _)| Some((holder.me(), 1.0 / holder.shared_by(now)? as f64)))
+                    .collect();
+                let sum: f64 = shares.iter().map(|(_, share)| share).sum();
                 prop_assert!(sum <= 1.0 + 1e-9, "{sum} at {now:?}");
+                spent.retain(|(at, ..)| now - *at < WINDOW);
+                for (life, share) in shares {
+                    let own: f64 = spent.iter().filter(|(_, by, _)| *by == life).map(|(.., much)| much).sum();
+                    spent.push((now, life, (share - own).max(0.0)));
+                }
+                let sum: f64 = spent.iter().map(|(.., much)| much).sum();
+                prop_assert!(sum <= 1.0 + 1e-9, "{sum} was spent in the window up to {now:?}");
             }
         }
     }
--- a/crates/fernknot-sluice/src/gateway.rs
+++ b/crates/fernknot-sluice/src/gateway.rs
@@ -13,7 +13,7 @@
 use fernknot::state::Mwc;
 use fernknot_conduit::{Question, Share, Shuffles};
 use fernknot_config::{Limits, SocketFacts};
-use fernknot_duties::{Gateway as Me, LifeId, doubt};
+use fernknot_duties::{Gateway as Me, HolderBounds, LifeId, unconfirmed};
 use fernknot_engine::{AskerId, Engine, Order};
 use fernknot_intake::{ClientLimits, Plan, ProcessFacts};
 use fernknot_overlay::{Descriptor, Role};
@@ -152,10 +152,14 @@
         let contact = Nanos::from_millis(bounds.contact_ms);
         let window = Nanos::from_millis(bounds.retry_window_s * 1e3);
         let beat = Nanos::from_millis(facts.beat_ms);
-        // Half of what registrars wait: all others have heard of a newcomer before it spends.
-        let unconfirmed = doubt(contact, window, beat).times(0.5);
         let shuffles = Shuffles::new(own, &seeds, contact.times(SHUFFLE), seed);
-        let mains = Mains::new(me, &seeds, Nanos::from_millis(bounds.apply_ms), unconfirmed, seed);
+        let shared = HolderBounds {
+            most_keys: 0,
+            hand_over: Nanos::from_millis(bounds.apply_ms),
+            unconfirmed: unconfirmed(contact, beat),
+            window,
+        };
+        let mains = Mains::new(me, &seeds, shared, seed);
         let socket_facts = SocketFacts {
             use_cases: Vec::new(),
             shards: 0,
--- a/crates/fernknot-sluice/src/news.rs
+++ b/crates/fernknot-sluice/src/news.rs
@@ -99,8 +99,9 @@
 }
 
 impl Mains {
-    pub fn new(me: Gateway, seeds: &[SocketAddrV4], apply: Nanos, unconfirmed: Nanos, seed: u64) -> Mains {
-        let bounds = HolderBounds { most_keys: 0, hand_over: apply, unconfirmed };
+    /// A hand-over may take as long as a configuration to be everywhere.
+    pub fn new(me: Gateway, seeds: &[SocketAddrV4], bounds: HolderBounds, seed: u64) -> Mains {
+        let apply = bounds.hand_over;
         let holder = Holder::new(me.life, Some(me.zone.clone()), bounds);
         let mut homes = Homes::new(me.life, &me.zone, apply, HomesBounds::default(), seed);
         let known: BTreeMap<SocketAddrV4, String> = seeds.iter().map(|addr| (*addr, String::new())).collect();
@@ -459,6 +460,7 @@
 
     /// Says farewell, so that nobody waits for this gateway.
     pub fn leave<P: Ports>(&mut self, ports: &mut P) {
+        self.holder.leave();
         for berth in self.streams.keys() {
             if let Some(out) = ports.output(*berth) {
                 push(out, &Inward::Leaving);
