Keep the retry budget in every window, not only in the one that ends now

Change: WindowedBudget holds, for every beginning within the last window, retries since then against the slack and the ratio of the mean of two counts that the rule takes the best of; the weights are the same at all gateways, so sums keep it.

--- a/src/decide/limits.rs
+++ b/src/decide/limits.rs
@@ -25,13 +25,10 @@
         let out = part.pending().next().is_some();
         // Guards second phases against copies made in first ones.
         let share = if out && multiget.second.is_some() { FIRST_RATION } else { 1.0 };
-        let rationed = self.budget.as_ref().is_some_and(|budget| {
-            let spent = self.budget_use.of(part.shard);
-            // Counted a little unkindly at both edges of the window.
-            let taken = spent.map_or(0.0, |spent| spent.accepted.within(now, budget.window - self.tick));
-            let sent = spent.map_or(0.0, |spent| spent.retries.within(now, budget.window + self.tick));
-            sent + 1.0 > share * (budget.free + budget.share * taken)
-        });
+        let is_spent = |budget: &RetryBudgetSettings| {
+            self.budget_use.remaining(now, part.shard, budget, share, self.tick) < 1.0
+        };
+        let rationed = self.budget.as_ref().is_some_and(is_spent);
         !rationed && (!out || self.hedging) && self.may_yet(now, part)
     }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -80,7 +80,7 @@
             shortest_goal,
             least_goal,
             warmup: facts.warmup,
-            budget_use: RetryBudgetUse::new(facts.budget.as_ref().is_some_and(|budget| budget.each_shard)),
+            budget_use: RetryBudgetUse::new(facts.budget.as_ref()),
             budget: facts.budget,
             places: facts.places.max(1),
             width: facts.width.max(1),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -140,7 +140,8 @@
     pub share: f64,
     /// The sliding window that both are counted over.
     pub window: Nanos,
-    /// The ration counts for each shard apart, against the parts that this shard is asked for.
+    /// The budget counts for each shard apart, against the parts that this shard is asked for, and holds in every
+    /// window, wherever that begins; else it counts for all together and holds in the window that ends now.
     pub each_shard: bool,
 }
 
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -1,6 +1,7 @@
 //! Counts over a sliding window, the retry budget that is spent from them, and token buckets.
 
-use crate::interface::{Nanos, ShardId};
+use super::windowed_budget::WindowedBudget;
+use crate::interface::{Nanos, RetryBudgetSettings, ShardId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Amounts of the last while, kept to the instant.
@@ -21,11 +22,6 @@
         recent.map(|(_, amount)| amount).sum()
     }
 
-    /// Nothing is kept.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
-
     /// Drops what is older than `span`.
     pub fn forget(&mut self, now: Nanos, span: Nanos) {
         while self.entries.front().is_some_and(|(at, _)| now - *at > span) {
@@ -44,10 +40,9 @@
 }
 
 impl BudgetUse {
-    fn forget(&mut self, now: Nanos, span: Nanos) -> bool {
+    fn forget(&mut self, now: Nanos, span: Nanos) {
         self.accepted.forget(now, span);
         self.retries.forget(now, span);
-        self.accepted.is_empty() && self.retries.is_empty()
     }
 }
 
@@ -56,43 +51,73 @@
 pub struct RetryBudgetUse {
     /// Over all shards.
     pub all: BudgetUse,
-    each: Option<BTreeMap<ShardId, BudgetUse>>,
+    each: Option<ShardBudgets>,
+}
+
+/// The budgets of shards, which hold in every window.
+#[derive(Clone, Debug)]
+struct ShardBudgets {
+    window: Nanos,
+    shards: BTreeMap<ShardId, WindowedBudget>,
+}
+
+impl ShardBudgets {
+    fn of(&mut self, shard: ShardId) -> &mut WindowedBudget {
+        self.shards.entry(shard).or_insert_with(|| WindowedBudget::new(self.window))
+    }
 }
 
 impl RetryBudgetUse {
-    /// Nothing spent yet; `each_shard` keeps a count for each shard too.
-    pub fn new(each_shard: bool) -> RetryBudgetUse {
-        RetryBudgetUse { all: BudgetUse::default(), each: each_shard.then(BTreeMap::new) }
+    /// Nothing spent yet; where the settings count each shard apart, so does this.
+    pub fn new(settings: Option<&RetryBudgetSettings>) -> RetryBudgetUse {
+        let each = settings.filter(|settings| settings.each_shard);
+        let shard_budgets = |settings: &RetryBudgetSettings| ShardBudgets {
+            window: settings.window,
+            shards: BTreeMap::new(),
+        };
+        RetryBudgetUse { all: BudgetUse::default(), each: each.map(shard_budgets) }
     }
 
     /// How many shards have spending of their own.
     pub(crate) fn shard_count(&self) -> usize {
-        self.each.as_ref().map_or(0, BTreeMap::len)
-    }
-
-    /// That of the shard or, where those are not kept apart, of all.
-    pub fn of(&self, shard: ShardId) -> Option<&BudgetUse> {
-        self.each.as_ref().map_or(Some(&self.all), |each| each.get(&shard))
+        self.each.as_ref().map_or(0, |each| each.shards.len())
+    }
+
+    /// How many more attempts past the first a shard may be sent if it may use this share of the budget: in every
+    /// window where shards are counted apart, else in the window that ends now, both edges counted conservatively
+    /// by a tick.
+    pub fn remaining(
+        &self,
+        now: Nanos,
+        shard: ShardId,
+        settings: &RetryBudgetSettings,
+        share: f64,
+        tick: Nanos,
+    ) -> f64 {
+        let (free, ratio) = (share * settings.free, share * settings.share);
+        let Some(each) = &self.each else {
+            let accepted = self.all.accepted.within(now, settings.window - tick);
+            return free + ratio * accepted - self.all.retries.within(now, settings.window + tick);
+        };
+        each.shards.get(&shard).map_or(free, |budget| budget.remaining(now, free, ratio))
     }
 
     /// Counts an accepted part.
     pub fn accept(&mut self, now: Nanos, shard: ShardId) {
         self.all.accepted.add(now, 1.0);
-        let own = self.each.as_mut().map(|each| each.entry(shard).or_default());
-        own.into_iter().for_each(|own| own.accepted.add(now, 1.0));
+        self.each.iter_mut().for_each(|each| each.of(shard).count_request(now));
     }
 
     /// Counts an attempt beyond the first.
     pub fn count_retry(&mut self, now: Nanos, shard: ShardId) {
         self.all.retries.add(now, 1.0);
-        let own = self.each.as_mut().map(|each| each.entry(shard).or_default());
-        own.into_iter().for_each(|own| own.retries.add(now, 1.0));
+        self.each.iter_mut().for_each(|each| each.of(shard).count_retry(now));
     }
 
     /// Drops what is older than `span`, and shards without any.
     pub fn forget(&mut self, now: Nanos, span: Nanos) {
         self.all.forget(now, span);
-        self.each.iter_mut().for_each(|each| each.retain(|_, own| !own.forget(now, span)));
+        self.each.iter_mut().for_each(|each| each.shards.retain(|_, budget| !budget.is_idle(now)));
     }
 }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -12,6 +12,7 @@
 mod router;
 mod statistics;
 mod use_case;
+mod windowed_budget;
 
 pub use budget::{BudgetUse, RetryBudgetUse, SlidingCount, TokenBucket};
 pub use groups::{Group, Groups};
@@ -23,3 +24,4 @@
 pub use router::{RetainedCounts, Router};
 pub use statistics::{FailureRate, LinearTrend, RunningMean};
 pub use use_case::UseCase;
+pub use windowed_budget::WindowedBudget;
