--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -16,6 +16,9 @@
 /// At any other time a second phase is refused only if it is likelier to fail than not.
 const LIKELY: f64 = 0.5;
 
+/// When a part would be answered, where it would go, and the part. The longest delay where it can go nowhere.
+type Offer<'a> = (Nanos, Option<Candidate>, &'a Part);
+
 impl Router {
     /// The first look at a multiget: where its parts would go and how long they take. What cannot be in time
     /// is rejected before any is sent, sooner where it earns little or its customer is beyond its share.
@@ -24,19 +27,10 @@
         multiget.fresh = false;
         let (use_case, customer, second) = (multiget.use_case, multiget.customer, multiget.step_from > 0);
         let left = multiget.target_end - now;
-        let (facts, opened, rest) = (multiget.second, multiget.opened, multiget.until - now);
+        let (estimate, opened, rest) = (multiget.second, multiget.opened, multiget.until - now);
         let parts = multiget.step().to_vec();
         self.use_cases[use_case.0].work.add(parts.iter().map(|part| part.size).sum(), SIZE_GAIN);
-        let mut planned = Loads::new();
-        let mut offers = Vec::new();
-        for part in &parts {
-            let offer = self.choose(now, part, left, &planned);
-            if let Some(offer) = offer {
-                *planned.entry(offer.node).or_insert(0.0) += part.size;
-            }
-            offers.push((offer.map_or(Nanos(u64::MAX), |offer| offer.delay), offer, part));
-        }
-        offers.sort_by_key(|(delay, _, part)| (*delay, part.id));
+        let offers = self.offer_nodes(now, &parts, left);
         let case = &self.use_cases[use_case.0];
         // The delay by which enough of the parts would be in for an answer.
         let mut reached = opened.map_or(0.0, |step| step.base) + ROUNDING;
@@ -46,21 +40,16 @@
         });
         let enough = &offers[..enough.map_or(offers.len(), |last| last + 1)];
         let delay = enough.last().map_or(Nanos(0), |(delay, _, _)| *delay);
-        // Guards against a second phase that is likelier late than not, and where all is slow against one
-        // that is not likely enough in time: it is refused before any of it is sent.
-        let chance: f64 = enough.iter().map(|(_, offer, _)| offer.map_or(0.0, |offer| offer.phi)).product();
-        let crowded = self.met.get() > Some(CROWDED) && delay > rest.times(CROWDED);
-        let level = if crowded { TARGET } else { LIKELY };
-        let needs = opened.and_then(|step| step.needs);
-        if needs.is_some_and(|needs| delay.max(needs) > rest || chance < level) {
+        if opened.is_some_and(|step| self.is_second_phase_late(step, enough, rest)) {
             self.rejected_at = Some(now);
             self.give_up(now, id);
             return false;
         }
         // What second phases were promised stands before all that is new. Guards against cheap first phases.
         let place = self.place_of(parts.first().map_or(ShardId(0), |part| part.shard));
-        let own = facts.map_or(0.0, |facts| {
-            facts.parts * self.size_of(case, place, facts.effort.map(|effort| (effort.0.max(1) as f64).ln()))
+        let own = estimate.map_or(0.0, |estimate| {
+            estimate.parts
+                * self.size_of(case, place, estimate.effort.map(|effort| (effort.0.max(1) as f64).ln()))
         });
         let usual = self.groups.get(place).pace.get().unwrap_or_default();
         let ahead = Nanos((usual * self.promised / self.nodes.len().max(1) as f64) as u64);
@@ -88,8 +77,40 @@
             return false;
         }
         self.promise(id, own);
-        // Guards all routers together against multigets that touch most nodes and then fail: while there
-        // is time, the quickest part goes first, and the others once it has answered.
+        self.send_first_attempts(now, id, offers, delay);
+        true
+    }
+
+    /// Where each part would go, by its delay; what one part adds to a node's load counts for the next.
+    fn offer_nodes<'a>(&self, now: Nanos, parts: &'a [Part], left: Nanos) -> Vec<Offer<'a>> {
+        let mut planned = Loads::new();
+        let mut offers = Vec::new();
+        for part in parts {
+            let offer = self.choose(now, part, left, &planned);
+            if let Some(offer) = offer {
+                *planned.entry(offer.node).or_insert(0.0) += part.size;
+            }
+            offers.push((offer.map_or(Nanos(u64::MAX), |offer| offer.delay), offer, part));
+        }
+        offers.sort_by_key(|(delay, _, part)| (*delay, part.id));
+        offers
+    }
+
+    /// Guards against a second phase that is likelier late than not, and where all is slow against one
+    /// that is not likely enough in time: it is refused before any of it is sent.
+    fn is_second_phase_late(&self, step: SecondPhaseStart, enough: &[Offer], rest: Nanos) -> bool {
+        let delay = enough.last().map_or(Nanos(0), |(delay, _, _)| *delay);
+        let chance: f64 = enough.iter().map(|(_, offer, _)| offer.map_or(0.0, |offer| offer.phi)).product();
+        let crowded = self.met.get() > Some(CROWDED) && delay > rest.times(CROWDED);
+        let level = if crowded { TARGET } else { LIKELY };
+        step.needs.is_some_and(|needs| delay.max(needs) > rest || chance < level)
+    }
+
+    /// Guards all routers together against multigets that touch most nodes and then fail: while there
+    /// is time, the quickest part goes first, and the others once it has answered.
+    fn send_first_attempts(&mut self, now: Nanos, id: MultigetId, mut offers: Vec<Offer>, delay: Nanos) {
+        let Some(multiget) = self.open.get(&id) else { return };
+        let (aim, second) = (self.use_cases[multiget.use_case.0].latency_target, multiget.step_from > 0);
         offers.retain(|(_, offer, _)| offer.is_some());
         let first = offers.first().map_or(Nanos(0), |(delay, _, _)| *delay);
         let wide = offers.len() as f64 > WIDE * self.nodes.len() as f64;
@@ -99,6 +120,5 @@
         let offered = offers.iter().filter_map(|(_, offer, part)| offer.as_ref().map(|offer| (offer, part)));
         offered.for_each(|(offer, part)| self.send_attempt(now, part.id, offer));
         offers.iter().for_each(|(_, _, part)| self.hedge(now, part.id));
-        true
     }
 }
--- a/src/decide/completion.rs
+++ b/src/decide/completion.rs
@@ -32,7 +32,7 @@
         let second = multiget.step_from > 0;
         let whole = if second || multiget.second.is_some() { 1.0 } else { case.required };
         let least = if second && case.quorum >= case.required { 1.0 } else { case.quorum };
-        let least = multiget.second.map_or(least, |facts| facts.least);
+        let least = multiget.second.map_or(least, |estimate| estimate.least);
         let weigh = |keep: fn(&Part) -> bool| -> f64 {
             let weights = multiget.step().iter().filter(|part| keep(part)).map(|part| part.weight);
             weights.sum::<f64>() + multiget.opened.map_or(0.0, |step| step.base) + ROUNDING
--- a/src/decide/hedging.rs
+++ b/src/decide/hedging.rs
@@ -31,6 +31,26 @@
     /// Takes the least number of copies, where the estimate is lowest first, and ages what is measured.
     pub(super) fn replan(&mut self, now: Nanos) {
         self.replan_at = now + RECOMPUTE;
+        self.plan_copies();
+        self.groups.halve();
+        self.use_cases.iter_mut().for_each(|case| case.latencies.halve());
+        let span = self.warmup.window.times(COLD_SPANS);
+        self.measure_warm_nodes(now, span);
+        for node in self.nodes.values_mut() {
+            // Guards a router that hears little against forgetting a bad replica before it is seen twice.
+            if node.latencies.total() >= ENOUGH || now - node.halved_at >= RECOMPUTE.times(KEPT) {
+                node.halved_at = now;
+                node.latencies.halve();
+                node.failures.halve();
+                node.kinds.values_mut().for_each(FailureRate::halve);
+            }
+            node.served.forget(now, span);
+        }
+        let longest = self.budget.as_ref().map_or(RECOMPUTE, |rule| rule.window).max(RECOMPUTE) + RECOMPUTE;
+        self.forget_unused(now, longest);
+    }
+
+    fn plan_copies(&mut self) {
         let sends = std::mem::take(&mut self.sends);
         let all: f64 = sends.values().sum();
         let mut wanted = Vec::new();
@@ -53,12 +73,13 @@
             }
         }
         self.mean_copies = if all > 0.0 { 1.0 + extra / all } else { 1.0 };
-        self.groups.halve();
-        self.use_cases.iter_mut().for_each(|case| case.latencies.halve());
-        let span = self.warmup.window.times(COLD_SPANS);
+    }
+
+    /// How busy warm replicas are, and what they bear. Weighed by all other answers: a mean over replicas
+    /// would sink with those of which nothing is asked.
+    fn measure_warm_nodes(&mut self, now: Nanos, span: Nanos) {
         let warm =
             self.nodes.values().filter(|node| node.health == Health::Running && !self.is_cold(now, node));
-        // Weighed by all other answers: a mean over replicas would sink with those of which nothing is asked.
         let (mut count, mut served, mut others, mut busy) = (0.0, 0.0, 0.0, 0.0);
         for node in warm {
             let own = node.served.within(now, span);
@@ -72,26 +93,6 @@
             let usual = (others / served).max(served / count);
             self.bears.add(usual / self.busy_all / span.0 as f64, BEARS_GAIN);
         }
-        for node in self.nodes.values_mut() {
-            // Guards a router that hears little against forgetting a bad replica before it is seen twice.
-            if node.latencies.total() >= ENOUGH || now - node.halved_at >= RECOMPUTE.times(KEPT) {
-                node.halved_at = now;
-                node.latencies.halve();
-                node.failures.halve();
-                node.kinds.values_mut().for_each(FailureRate::halve);
-            }
-            node.served.forget(now, span);
-        }
-        self.nodes.retain(|_, node| node.health != Health::Gone || !node.is_forgotten());
-        self.by_place.keep(|id| self.nodes.contains_key(id));
-        let longest = self.budget.as_ref().map_or(RECOMPUTE, |rule| rule.window).max(RECOMPUTE) + RECOMPUTE;
-        self.first_sends.forget(now, longest);
-        self.budget_use.forget(now, longest);
-        // Guards the memory of a router that runs for days against shards that came and went.
-        let mut turns = std::mem::take(&mut self.turns);
-        turns.retain(|shard, _| self.places_of(*shard).any(|place| self.by_place.has(place)));
-        self.turns = turns;
-        self.groups.keep(|place| self.by_place.has(*place));
     }
 
     /// How busy a replica is: its own report or, failing that, what its latencies say.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -50,8 +50,9 @@
 /// A share counts as reached when it falls short by no more than rounding.
 const ROUNDING: f64 = 0.00005;
 
-/// What an answer past its target earns where nothing is told, and when to come back before all is known.
+/// What an answer past its target earns where nothing is told, as a share of its value.
 pub const LATE_SHARE: f64 = 1.0 / 3.0;
+/// When a rejected client may come back before the settings say so.
 pub const FIRST_RETRY_AFTER: Nanos = Nanos(500_000_000);
 
 /// What a use case earns by its rank: each half as much as the one before.
@@ -60,41 +61,42 @@
 }
 
 impl Router {
-    pub fn new(seed: u64, facts: SiteSettings, now: Nanos) -> Router {
-        let goal = facts.use_cases.iter().map(|case| case.latency_target).min();
-        let least_goal = facts.shortest_goal.unwrap_or_default().max(facts.tick);
-        let shortest_goal = goal.or(facts.shortest_goal).unwrap_or(RECOMPUTE).max(least_goal);
-        let finest = facts.shortest_goal.map_or(shortest_goal, |_| least_goal).0 as f64 * FIRST_BIN;
-        let more = facts.shortest_goal.map_or(0, |_| MORE_BINS);
+    /// A router at its start, which knows of no node. `seed` makes its random choices.
+    pub fn new(seed: u64, settings: SiteSettings, now: Nanos) -> Router {
+        let goal = settings.use_cases.iter().map(|case| case.latency_target).min();
+        let least_goal = settings.shortest_goal.unwrap_or_default().max(settings.tick);
+        let shortest_goal = goal.or(settings.shortest_goal).unwrap_or(RECOMPUTE).max(least_goal);
+        let finest = settings.shortest_goal.map_or(shortest_goal, |_| least_goal).0 as f64 * FIRST_BIN;
+        let more = settings.shortest_goal.map_or(0, |_| MORE_BINS);
         let bins = Histogram::new(finest, BIN_RATIO, BINS + more);
-        let use_cases = facts.use_cases.iter().map(|case| UseCase::new(case, &bins));
+        let use_cases = settings.use_cases.iter().map(|case| UseCase::new(case, &bins));
         let own_share = |rate: &f64| {
-            let rate = rate / facts.routers.max(1) as f64;
+            let rate = rate / settings.routers.max(1) as f64;
             TokenBucket::new(rate, rate.max(1.0) * SHARE_SPAN, now)
         };
         Router {
             use_cases: use_cases.collect(),
-            router_count: facts.routers.max(1) as f64,
-            shares: facts.customers.iter().map(own_share).collect(),
-            tick: facts.tick,
+            router_count: settings.routers.max(1) as f64,
+            shares: settings.customers.iter().map(own_share).collect(),
+            tick: settings.tick,
             shortest_goal,
             least_goal,
-            warmup: facts.warmup,
-            budget_use: RetryBudgetUse::new(facts.budget.as_ref()),
-            budget: facts.budget,
-            places: facts.places.max(1),
-            width: facts.width.max(1),
-            cancel: facts.cancel,
-            hedging: facts.hedging,
-            max_attempts: facts.max_attempts as usize,
-            max_retry_after: facts.max_retry_after.unwrap_or_default(),
-            ask_at: facts.must_ask.then_some(now),
-            must_ask: facts.must_ask,
-            peers: facts.peers && facts.routers > 1,
-            by_work: facts.by_work,
-            zone: facts.zone,
-            unmarked: !facts.marks_repeats,
-            refusals_cost: facts.refusals_cost,
+            warmup: settings.warmup,
+            budget_use: RetryBudgetUse::new(settings.budget.as_ref()),
+            budget: settings.budget,
+            places: settings.places.max(1),
+            width: settings.width.max(1),
+            cancel: settings.cancel,
+            hedging: settings.hedging,
+            max_attempts: settings.max_attempts as usize,
+            max_retry_after: settings.max_retry_after.unwrap_or_default(),
+            ask_at: settings.must_ask.then_some(now),
+            must_ask: settings.must_ask,
+            peers: settings.peers && settings.routers > 1,
+            by_work: settings.by_work,
+            zone: settings.zone,
+            unmarked: !settings.marks_repeats,
+            refusals_cost: settings.refusals_cost,
             random: Mwc::new(seed),
             groups: Groups::new(&bins),
             bins,
@@ -105,6 +107,7 @@
         }
     }
 
+    /// The next decision; `None`: nothing more until an input, or until the time of the last `Wake`.
     pub fn poll_decision(&mut self, now: Nanos) -> Option<Decision> {
         loop {
             if let Some(decision) = self.ready.pop_front() {
@@ -122,9 +125,9 @@
                 self.due.remove(&first);
                 self.touched.push_back(first.1);
             } else if self.notify_at.is_some_and(|at| at <= now) {
-                let news = self.updates.drain(..self.updates.len().min(MAX_UPDATES)).collect();
+                let updates = self.updates.drain(..self.updates.len().min(MAX_UPDATES)).collect();
                 self.notify_at = self.notify_at.filter(|_| !self.updates.is_empty());
-                return Some(Decision::NotifyPeers { updates: news });
+                return Some(Decision::NotifyPeers { updates });
             } else {
                 let due = [self.due.first().map(|(at, _)| *at), self.ask_at, self.notify_at];
                 let at = due.into_iter().flatten().fold(self.replan_at, Nanos::min);
--- a/src/decide/observation.rs
+++ b/src/decide/observation.rs
@@ -45,37 +45,7 @@
         self.ask_at = self.must_ask.then_some(now + RECOMPUTE.times(self.ask_wait * spread));
     }
 
-    /// Adds a use case at the next free id, or replaces one, also for what is open. What was measured of it
-    /// stays if only its times, worth and limit of attempts changed and it has not been taken away.
-    pub fn set_use_case(&mut self, _now: Nanos, id: UseCaseId, facts: &UseCaseSettings) {
-        let mut case = UseCase::new(facts, &self.bins);
-        let work = |case: &UseCase| (case.live, case.effect, case.required, case.quorum, case.two_phase);
-        if let Some(old) = self.use_cases.get_mut(id.0) {
-            if work(old) == work(&case) {
-                (case.size, case.work) = (old.size, old.work);
-                case.latencies = std::mem::take(&mut old.latencies);
-            } else {
-                self.nodes.values_mut().for_each(|node| node.kinds.retain(|kind, _| kind.0 != id));
-            }
-            *old = case;
-        } else if id.0 == self.use_cases.len() {
-            self.use_cases.push(case);
-        }
-        self.set_shortest();
-    }
-
-    /// Takes a use case away, of which nothing new comes; its id may be used again once nothing is open.
-    pub fn remove_use_case(&mut self, id: UseCaseId) {
-        self.use_cases.get_mut(id.0).into_iter().for_each(|case| case.live = false);
-        self.nodes.values_mut().for_each(|node| node.kinds.retain(|kind, _| kind.0 != id));
-        self.set_shortest();
-    }
-
-    fn set_shortest(&mut self) {
-        let goals = self.use_cases.iter().filter(|case| case.live).map(|case| case.latency_target);
-        self.shortest_goal = goals.min().unwrap_or(self.shortest_goal).max(self.least_goal);
-    }
-
+    /// A client asks for a multiget; its parts follow.
     pub fn multiget_arrived(&mut self, now: Nanos, arrival: &Arrival) {
         let Some(case) = self.use_cases.get_mut(arrival.use_case.0) else { return };
         let stretch = arrival.effort.unwrap_or_default().times(case.stretch);
@@ -91,16 +61,16 @@
         self.open.insert(arrival.multiget, multiget);
         self.budget_use.all.accepted.add(now, 1.0);
         self.touched.push_back(arrival.multiget);
-        arrival.second.iter().for_each(|facts| self.expect_second_phase(arrival.multiget, *facts));
+        arrival.second.iter().for_each(|estimate| self.expect_second_phase(arrival.multiget, *estimate));
     }
 
     /// What is known by now of a second phase. The first has the target less what the second is likely
     /// to need, and ends at once when the second can for certain not be in time any more.
-    pub fn expect_second_phase(&mut self, id: MultigetId, facts: SecondPhaseEstimate) {
+    pub fn expect_second_phase(&mut self, id: MultigetId, estimate: SecondPhaseEstimate) {
         let Some(multiget) = self.open.get_mut(&id).filter(|held| held.step_from == 0) else { return };
         let (aim_end, until) = multiget.whole_ends;
-        (multiget.target_end, multiget.until) = (aim_end - facts.needs, until - facts.needs_least);
-        multiget.second = Some(facts);
+        (multiget.target_end, multiget.until) = (aim_end - estimate.needs, until - estimate.needs_least);
+        multiget.second = Some(estimate);
         self.touched.push_back(id);
     }
 
@@ -127,6 +97,7 @@
         size.clamp(1.0 / WIDEST, WIDEST)
     }
 
+    /// One part of a multiget that has arrived, or of its second phase.
     pub fn part_arrived(&mut self, now: Nanos, arrival: &PartArrival) {
         let Some(use_case) = self.open.get(&arrival.part.multiget).map(|held| held.use_case) else { return };
         let hint = arrival.effort.map(|effort| (effort.0.max(1) as f64).ln());
@@ -144,6 +115,7 @@
         }
     }
 
+    /// An attempt has ended; what comes of it later is ignored.
     pub fn attempt_ended(&mut self, now: Nanos, ending: &Ending) {
         self.load_reported(ending.node, ending.report);
         let Some(multiget) = self.open.get_mut(&ending.part.multiget) else { return };
@@ -203,9 +175,9 @@
 
     /// What another router tells of its attempts: as good as our own for how a replica does and
     /// how much it holds. Guards routers that each see little of a node against sending it too much.
-    pub fn apply_updates(&mut self, now: Nanos, from: PeerId, news: &[(NodeId, Update)]) {
+    pub fn apply_updates(&mut self, now: Nanos, from: PeerId, updates: &[(NodeId, Update)]) {
         let lost_before = now - self.shortest_goal;
-        for (id, what) in news {
+        for (id, what) in updates {
             let Some(node) = self.nodes.get_mut(id) else { continue };
             node.others.retain(|(_, sent, _)| *sent >= lost_before);
             let ahead = node.holds(lost_before) + 1.0;
--- a/src/decide/replica_selection.rs
+++ b/src/decide/replica_selection.rs
@@ -68,15 +68,6 @@
         now - sent.sent < self.shortest_goal.times(OVERDUE_GOAL)
     }
 
-    pub(super) fn place_of(&self, shard: ShardId) -> PlaceId {
-        PlaceId(shard.0 % self.places)
-    }
-
-    pub(super) fn places_of(&self, shard: ShardId) -> impl Iterator<Item = PlaceId> {
-        let places = u64::from(self.places);
-        (0..self.width).map(move |step| PlaceId(((u64::from(shard.0) + u64::from(step)) % places) as u32))
-    }
-
     /// Those that run. Guards them against taking the turns of one that drains or is gone.
     pub(super) fn holders(&self, shard: ShardId) -> Vec<NodeId> {
         self.by_place.all_in(self.places_of(shard), |id| self.nodes[id].health == Health::Running)
--- a/src/state/router.rs
+++ b/src/state/router.rs
@@ -90,6 +90,63 @@
     }
 }
 
+impl Router {
+    /// Adds a use case at the next free id, or replaces one, also for what is open. What was measured of it
+    /// stays if only its times, worth and limit of attempts changed and it has not been taken away.
+    pub fn set_use_case(&mut self, _now: Nanos, id: UseCaseId, settings: &UseCaseSettings) {
+        let mut case = UseCase::new(settings, &self.bins);
+        let work = |case: &UseCase| (case.live, case.effect, case.required, case.quorum, case.two_phase);
+        if let Some(old) = self.use_cases.get_mut(id.0) {
+            if work(old) == work(&case) {
+                (case.size, case.work) = (old.size, old.work);
+                case.latencies = std::mem::take(&mut old.latencies);
+            } else {
+                self.nodes.values_mut().for_each(|node| node.kinds.retain(|kind, _| kind.0 != id));
+            }
+            *old = case;
+        } else if id.0 == self.use_cases.len() {
+            self.use_cases.push(case);
+        }
+        self.set_shortest();
+    }
+
+    /// Takes a use case away, of which nothing new comes; its id may be used again once nothing is open.
+    pub fn remove_use_case(&mut self, id: UseCaseId) {
+        self.use_cases.get_mut(id.0).into_iter().for_each(|case| case.live = false);
+        self.nodes.values_mut().for_each(|node| node.kinds.retain(|kind, _| kind.0 != id));
+        self.set_shortest();
+    }
+
+    fn set_shortest(&mut self) {
+        let goals = self.use_cases.iter().filter(|case| case.live).map(|case| case.latency_target);
+        self.shortest_goal = goals.min().unwrap_or(self.shortest_goal).max(self.least_goal);
+    }
+
+    /// The first of the places that hold a shard.
+    pub(crate) fn place_of(&self, shard: ShardId) -> PlaceId {
+        PlaceId(shard.0 % self.places)
+    }
+
+    /// All places that hold a shard.
+    pub(crate) fn places_of(&self, shard: ShardId) -> impl Iterator<Item = PlaceId> {
+        let places = u64::from(self.places);
+        (0..self.width).map(move |step| PlaceId(((u64::from(shard.0) + u64::from(step)) % places) as u32))
+    }
+
+    /// Drops nodes, places and shards that are gone and of which nothing is known, and counts older than `longest`.
+    /// Guards the memory of a router that runs for days against shards that came and went.
+    pub(crate) fn forget_unused(&mut self, now: Nanos, longest: Nanos) {
+        self.nodes.retain(|_, node| node.health != Health::Gone || !node.is_forgotten());
+        self.by_place.keep(|id| self.nodes.contains_key(id));
+        self.first_sends.forget(now, longest);
+        self.budget_use.forget(now, longest);
+        let mut turns = std::mem::take(&mut self.turns);
+        turns.retain(|shard, _| self.places_of(*shard).any(|place| self.by_place.has(place)));
+        self.turns = turns;
+        self.groups.keep(|place| self.by_place.has(*place));
+    }
+}
+
 /// How much a router holds, to be watched over days.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetainedCounts {
--- a/src/state/use_case.rs
+++ b/src/state/use_case.rs
@@ -43,20 +43,20 @@
 
 impl UseCase {
     /// As the settings have it, with nothing measured.
-    pub fn new(facts: &UseCaseSettings, bins: &Histogram) -> UseCase {
+    pub fn new(settings: &UseCaseSettings, bins: &Histogram) -> UseCase {
         UseCase {
             live: true,
-            latency_target: facts.latency_target,
-            hard_limit: facts.hard_limit,
-            late_share: facts.late_share,
-            squared: facts.squared,
-            value: facts.value,
-            effect: facts.effect,
-            stretch: facts.stretch,
-            required: facts.required,
-            quorum: facts.quorum,
-            two_phase: facts.two_phase,
-            max_attempts: facts.max_attempts,
+            latency_target: settings.latency_target,
+            hard_limit: settings.hard_limit,
+            late_share: settings.late_share,
+            squared: settings.squared,
+            value: settings.value,
+            effect: settings.effect,
+            stretch: settings.stretch,
+            required: settings.required,
+            quorum: settings.quorum,
+            two_phase: settings.two_phase,
+            max_attempts: settings.max_attempts,
             latencies: bins.clone(),
             ..UseCase::default()
         }
