Play split cores, uneven clocks and six gateways; one seed, one log

Cause: the simulator did not cover the core cut into halves with losses that overlap (NEWS-22), clocks of different rates, or more than two gateways; Registry::expire numbered changes in the order of a hash map, and the leader was read from a log sentence.

--- a/crates/fernknot-controller/src/controller/consensus_events.rs
+++ b/crates/fernknot-controller/src/controller/consensus_events.rs
@@ -72,7 +72,6 @@
 
     fn view_activated(&mut self, view: &View) {
         let members: Vec<String> = view.members.iter().map(|member| member.addr.ip().to_string()).collect();
-        // The simulator reads this line.
         let text = format!("view {} with {} is active", view.number.0, members.join(", "));
         self.actions.log(Level::Info, part::CONSENSUS, text);
         self.changes.requeue_all_proposed(self.now());
--- a/crates/fernknot-controller/src/controller/lifecycle.rs
+++ b/crates/fernknot-controller/src/controller/lifecycle.rs
@@ -4,7 +4,7 @@
 use crate::counters as counter;
 use crate::seeded_bug::SeededBug;
 use fernknot::interface::Nanos;
-use fernknot_consensus::{Consensus, MemberId, PersistentState, WriteId};
+use fernknot_consensus::{Consensus, MemberId, PersistentState, View, WriteId};
 use fernknot_telemetry::part;
 use log::Level;
 use std::net::SocketAddrV4;
@@ -84,6 +84,11 @@
         self.report_disk_health();
     }
 
+    /// The active view, as far as this controller knows, if it is in one; the first member leads.
+    pub fn active_view(&self) -> Option<&View> {
+        self.consensus.view()
+    }
+
     /// Whether nobody waits for anything here any more, so that the process may end.
     pub fn can_exit(&self) -> bool {
         let is_alone = self.consensus.view().is_none_or(|view| view.members.len() < 2);
--- a/crates/fernknot-registry/src/incarnation_table.rs
+++ b/crates/fernknot-registry/src/incarnation_table.rs
@@ -111,10 +111,13 @@
         &self.changes
     }
 
-    /// The ids of the incarnations for which this holds, in no particular order.
+    /// The ids of the incarnations for which this holds, sorted: the order in which a hash map is walked differs from
+    /// process to process, and changes are numbered in this order.
     pub fn ids_where(&self, is_wanted: impl Fn(&Incarnation) -> bool) -> Vec<String> {
         let wanted = self.by_id.iter().filter(|(_, incarnation)| is_wanted(incarnation));
-        wanted.map(|(id, _)| id.clone()).collect()
+        let mut ids: Vec<String> = wanted.map(|(id, _)| id.clone()).collect();
+        ids.sort_unstable();
+        ids
     }
 
     /// Adds an incarnation that is unknown until now.
--- a/crates/fernknot-simulator/src/control_clients/outcomes.rs
+++ b/crates/fernknot-simulator/src/control_clients/outcomes.rs
@@ -99,8 +99,8 @@
 
     fn drain_completed(&mut self, index: usize, attempt: &Attempt, response: &ControlResponse) {
         let incarnation = self.control_clients.nodes[index].incarnation;
-        let disturbed_at = self.machines[attempt.machine].disturbed_at;
-        if response.is_success() && self.is_in_touch(attempt.machine, disturbed_at) {
+        // Also where the machine that acknowledges it is out of touch.
+        if response.is_success() {
             self.observations.drain_count += 1;
             self.observations.drains.push(DrainRecord {
                 node: node_id(incarnation),
--- a/crates/fernknot-simulator/src/controllers/inputs.rs
+++ b/crates/fernknot-simulator/src/controllers/inputs.rs
@@ -4,7 +4,7 @@
 use crate::event::Event;
 use crate::settings::SeededBug;
 use crate::simulation::Simulation;
-use crate::time::{micros, millis};
+use crate::time::micros;
 use crate::topology::machine_index;
 use fernknot::interface::Nanos;
 use fernknot_controller::PendingCall;
@@ -100,7 +100,7 @@
             }
             let Some(controller) = &mut machine.controller else { return };
             let Some(action) = controller.poll_action(local_time) else {
-                let timeout = machine.started_at + (controller.next_timeout() - millis(1));
+                let timeout = machine.clock.time_of(controller.next_timeout());
                 machine.wake_at = timeout.max(self.now + micros(1));
                 return;
             };
--- a/crates/fernknot-simulator/src/controllers/machine.rs
+++ b/crates/fernknot-simulator/src/controllers/machine.rs
@@ -1,6 +1,6 @@
 //! One machine of the core: its disk, and the process that runs on it.
 
-use crate::time::{NEVER, millis};
+use crate::time::{NEVER, ProcessClock, millis};
 use fernknot::interface::Nanos;
 use fernknot_consensus::{PersistentState, WriteId};
 use fernknot_controller::{Controller, SubscriberId};
@@ -58,6 +58,9 @@
     pub due_at: Option<Nanos>,
 }
 
+/// What the clock of a controller's process shows as it starts.
+pub(crate) const CLOCK_AT_START: Nanos = millis(1);
+
 /// What lies on a disk, and how it takes writes.
 pub(crate) struct Disk {
     pub state: Option<PersistentState>,
@@ -105,7 +108,8 @@
     pub controller: Option<Controller>,
     /// The incarnation of the process that runs here, or ran last; 0 before the first.
     pub incarnation: u64,
-    pub started_at: Nanos,
+    /// The clock of its process, which stands at 1 ms as the process starts.
+    pub clock: ProcessClock,
     /// When the controller's next timer is due.
     pub wake_at: Nanos,
     pub is_powered: bool,
@@ -123,6 +127,8 @@
     pub active_faults: usize,
     /// It counts as lost until then, though its faults have ended.
     pub unavailable_until: Nanos,
+    /// Its disk was lost, and what was on it may not have been replaced yet.
+    pub lost_disk: bool,
     /// The last moment of anything that puts it out of touch.
     pub disturbed_at: Nanos,
     pub known_state: KnownState,
@@ -133,7 +139,7 @@
         Machine {
             controller: None,
             incarnation: 0,
-            started_at: now,
+            clock: ProcessClock::new(now, CLOCK_AT_START, 1.0),
             wake_at: NEVER,
             is_powered: true,
             is_frozen: false,
@@ -145,6 +151,7 @@
             loses_responses: false,
             active_faults: 0,
             unavailable_until: Nanos(0),
+            lost_disk: false,
             disturbed_at: now,
             known_state: KnownState::default(),
         }
@@ -170,8 +177,8 @@
         self.is_powered && !self.is_removed
     }
 
-    /// The clock of its process, which stands at 1 ms as the process starts.
+    /// What the clock of its process shows.
     pub fn local_time(&self, now: Nanos) -> Nanos {
-        now - self.started_at + millis(1)
+        self.clock.read(now)
     }
 }
--- a/crates/fernknot-simulator/src/controllers/process.rs
+++ b/crates/fernknot-simulator/src/controllers/process.rs
@@ -1,12 +1,12 @@
 //! The life cycle of a controller's process: start, end, freeze and graceful shutdown.
 
-use crate::controllers::machine::Input;
+use crate::controllers::machine::{CLOCK_AT_START, Input};
 use crate::event::Event;
 use crate::faults::schedule::Trigger;
 use crate::rng::splitmix64;
 use crate::settings::SeededBug;
 use crate::simulation::Simulation;
-use crate::time::{NEVER, millis};
+use crate::time::{NEVER, ProcessClock, millis};
 use crate::topology::{controller_addr, zone_name};
 use fernknot::interface::Nanos;
 use fernknot_controller::{Controller, ControllerSettings};
@@ -28,7 +28,7 @@
         let controller = self.build_controller(index, incarnation, bootstrap);
         let machine = &mut self.machines[index];
         machine.incarnation = incarnation;
-        machine.started_at = self.now;
+        machine.clock = ProcessClock::new(self.now, CLOCK_AT_START, self.settings.clock_rate(incarnation));
         machine.is_frozen = false;
         machine.is_powered = true;
         machine.inbox.clear();
--- a/crates/fernknot-simulator/src/controllers/timeline.rs
+++ b/crates/fernknot-simulator/src/controllers/timeline.rs
@@ -5,36 +5,30 @@
 use crate::faults::schedule::Trigger;
 use crate::http_request::parse_request;
 use crate::simulation::Simulation;
+use crate::topology::machine_index;
+use fernknot_controller::Controller;
 use fernknot_http_api::Reply;
 
-/// How the sentence begins by which a controller logs that it has entered a view: its number, `with`, and its members,
-/// the leader first.
-const VIEW_ENTERED: &str = "view ";
-
-/// The number of a view and the machine of its leader, from a controller's log.
-fn entered_view(text: &str) -> Option<(u64, Option<usize>)> {
-    let mut parts = text.strip_prefix(VIEW_ENTERED)?.split([' ', ',']);
-    let number = parts.next().and_then(|number| number.parse().ok()).unwrap_or(0);
-    let leader_octet = parts.nth(1).and_then(|ip| ip.rsplit('.').next()?.parse::<usize>().ok());
-    Some((number, leader_octet.map(|octet| octet.wrapping_sub(1))))
-}
-
 impl Simulation {
-    /// A controller logs a sentence. Faults that aim at the leader go by the newest view that anybody entered.
+    /// A controller logs a sentence, as it does whenever its view changes.
     pub(super) fn observe_log(&mut self, index: usize, text: &str) {
         self.trace(|| format!("{index}: {text}"));
-        if let Some((number, leader)) = entered_view(text)
-            && number > self.faults.newest_view
-        {
-            self.faults.newest_view = number;
-            self.faults.leader = leader;
-            self.fire_trigger(Trigger::LeaderChange);
-        }
+        self.observe_view(index);
         if self.settings.trace {
             self.request_counters(index);
         }
     }
 
+    /// Faults that aim at the leader go by the newest view that any controller is in.
+    fn observe_view(&mut self, index: usize) {
+        let view = self.machines[index].controller.as_ref().and_then(Controller::active_view);
+        let Some(view) = view.filter(|view| view.number.0 > self.faults.newest_view) else { return };
+        let leader = view.members.first().map(|leader| machine_index(leader.addr));
+        self.faults.newest_view = view.number.0;
+        self.faults.leader = leader;
+        self.fire_trigger(Trigger::LeaderChange);
+    }
+
     /// Asks what it knows now, as any operator may.
     fn request_counters(&mut self, index: usize) {
         let machine = &mut self.machines[index];
--- a/crates/fernknot-simulator/src/faults/injection.rs
+++ b/crates/fernknot-simulator/src/faults/injection.rs
@@ -23,11 +23,13 @@
             FaultKind::WipeDisk => {
                 self.end_controller(machine, false);
                 self.wipe_disk(machine);
+                self.machines[machine].lost_disk = true;
             }
             FaultKind::Isolate { direction, subscribers } => {
                 self.isolate(machine, direction, subscribers, true);
             }
             FaultKind::PartitionPair { direction } => self.partition_pair(machine, direction, true),
+            FaultKind::SplitCore { half } => self.split_core(half, true),
             FaultKind::ResetConnections => self.reset_connections(machine),
             FaultKind::Freeze => self.set_frozen(machine, true),
             FaultKind::DiskFull => self.set_write_behavior(machine, WriteBehavior::Full),
@@ -81,6 +83,7 @@
                 self.isolate(machine, direction, subscribers, false);
             }
             FaultKind::PartitionPair { direction } => self.partition_pair(machine, direction, false),
+            FaultKind::SplitCore { half } => self.split_core(half, false),
             FaultKind::ResetConnections
             | FaultKind::ConcurrentChanges
             | FaultKind::ReadFlood
@@ -131,6 +134,7 @@
         }
         if is_wiped {
             self.wipe_disk(target);
+            self.machines[target].lost_disk = true;
         }
     }
 
@@ -167,6 +171,25 @@
         }
     }
 
+    /// Begins or ends a partition between the machines whose bit is set in `half` and the others, machines that come while
+    /// it lasts among them.
+    fn split_core(&mut self, half: u64, begins: bool) {
+        if begins {
+            self.forget_repaired_disks();
+            self.faults.core_splits += 1;
+        } else {
+            self.faults.core_splits -= 1;
+            self.faults.split_until = self.now;
+        }
+        let is_in_half = |machine: usize| half >> (machine % u64::BITS as usize) & 1 == 1;
+        for machine in 0..MAX_MACHINES {
+            for other in (0..machine).filter(|other| is_in_half(*other) != is_in_half(machine)) {
+                self.set_partition(machine, other, begins);
+                self.set_partition(other, machine, begins);
+            }
+        }
+    }
+
     fn partition_pair(&mut self, machine: usize, direction: Direction, begins: bool) {
         let other = (machine + 1) % self.settings.members;
         if other != machine {
@@ -192,6 +215,7 @@
         self.machines[old].is_removed = true;
         let new = self.add_machine();
         self.machines[new].active_faults += 1;
+        self.machines[new].lost_disk = true;
         self.replace_seed(old, new);
         self.trace(|| format!("{new} comes in the place of {old}"));
         self.start_controller(new, false);
--- a/crates/fernknot-simulator/src/faults/schedule.rs
+++ b/crates/fernknot-simulator/src/faults/schedule.rs
@@ -7,6 +7,11 @@
 /// A fault that is over so soon is not noticed by all.
 const SHORT_FAULT: Nanos = millis(300);
 
+/// How long the core is split, and the longest pause until the next split.
+const MIN_SPLIT: Nanos = millis(500);
+const MAX_SPLIT: Nanos = millis(9000);
+const MAX_SPLIT_PAUSE: Nanos = millis(10_000);
+
 /// When a fault that is due happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trigger {
@@ -74,6 +79,11 @@
         /// In which direction.
         direction: Direction,
     },
+    /// The core is partitioned into two halves, whatever may be lost besides. Everybody else reaches both.
+    SplitCore {
+        /// Machines whose bit is set are in one half, the others in the other.
+        half: u64,
+    },
     /// All connections of the machine end.
     ResetConnections,
     /// The process stands still.
@@ -116,11 +126,20 @@
 }
 
 impl FaultKind {
+    /// Whether a disk is lost by it.
+    pub(crate) fn loses_disk(self) -> bool {
+        matches!(
+            self,
+            FaultKind::WipeDisk | FaultKind::ReplaceMachine | FaultKind::AllMachines { wiped: true, .. }
+        )
+    }
+
     /// Whether a machine counts as lost by it.
     pub(crate) fn counts_as_loss(self) -> bool {
         !matches!(
             self,
             FaultKind::ResetConnections
+                | FaultKind::SplitCore { .. }
                 | FaultKind::LoseResponses
                 | FaultKind::ConcurrentChanges
                 | FaultKind::ChangeStorm
@@ -146,6 +165,20 @@
     faults
 }
 
+/// Partitions of the core into halves between two moments, to be added to the faults of [`draw_fault_schedule`].
+pub(crate) fn draw_core_splits(rng: &Rng, from: Nanos, to: Nanos) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut due_at = from + rng.between(Nanos(0), MAX_SPLIT_PAUSE);
+    while due_at < to {
+        let trigger = draw_trigger(rng);
+        let kind = FaultKind::SplitCore { half: rng.next_u64() };
+        let duration = rng.between(MIN_SPLIT, MAX_SPLIT);
+        faults.push(Fault { due_at, trigger, target: Target::Leader, kind, duration });
+        due_at = due_at + duration + rng.between(Nanos(0), MAX_SPLIT_PAUSE);
+    }
+    faults
+}
+
 fn draw_trigger(rng: &Rng) -> Trigger {
     match rng.below(12) {
         0..4 => Trigger::Immediate,
--- a/crates/fernknot-simulator/src/faults/state.rs
+++ b/crates/fernknot-simulator/src/faults/state.rs
@@ -1,6 +1,7 @@
 //! Which faults have happened and ended, and at whom the next may aim.
 
 use crate::faults::schedule::{Fault, Trigger};
+use fernknot::interface::Nanos;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The schedule of a run and how far it has come. Faults go by their number in the schedule.
@@ -17,7 +18,11 @@
     pub is_healing: bool,
     /// Faults by which responses are lost.
     pub response_losses: usize,
-    /// The leader of the newest view, as controllers log it.
+    /// Faults that split the core.
+    pub core_splits: usize,
+    /// When the core was last split.
+    pub split_until: Nanos,
+    /// The leader of the newest view that any controller was in.
     pub leader: Option<usize>,
     pub newest_view: u64,
     pub last_acknowledger: Option<usize>,
@@ -35,6 +40,8 @@
             ended: BTreeSet::new(),
             is_healing: false,
             response_losses: 0,
+            core_splits: 0,
+            split_until: Nanos(0),
             leader: None,
             newest_view: 0,
             last_acknowledger: None,
--- a/crates/fernknot-simulator/src/faults/triggers.rs
+++ b/crates/fernknot-simulator/src/faults/triggers.rs
@@ -43,6 +43,9 @@
             FaultKind::ReadFlood => self.faults.last_returned.unwrap_or(machine),
             _ => machine,
         };
+        if kind.loses_disk() {
+            self.forget_repaired_disks();
+        }
         if kind.counts_as_loss() && self.exceeds_budget(kind, machine) {
             return self.trace(|| format!("({kind:?} on {machine} would lose too many)"));
         }
@@ -54,7 +57,11 @@
         self.faults.machines.insert(fault, machine);
         self.schedule(duration, Event::EndFault { fault, machine });
         self.begin_fault(kind, machine, duration);
-        if matches!(kind, FaultKind::Isolate { .. } | FaultKind::PartitionPair { .. }) {
+        let is_partition = matches!(
+            kind,
+            FaultKind::Isolate { .. } | FaultKind::PartitionPair { .. } | FaultKind::SplitCore { .. }
+        );
+        if is_partition {
             self.fire_trigger(Trigger::Partitioned);
         }
     }
@@ -73,10 +80,41 @@
         let lost = self.lost_machines();
         let others = lost.iter().filter(|other| **other != machine).count();
         let hits_all = matches!(kind, FaultKind::AllMachines { .. });
-        let is_too_much = others >= self.settings.losses || (hits_all && !lost.is_empty());
+        let is_too_much = others >= self.settings.losses
+            || (hits_all && !lost.is_empty())
+            || (kind.loses_disk() && self.unrepaired_disks_besides(machine) >= self.settings.losses);
         is_too_much && !self.settings.exceeds_fault_budget
     }
 
+    /// Other machines whose disk was lost and may not have been replaced yet. Only a core that is split can take longer
+    /// for that than the machine counts as lost.
+    fn unrepaired_disks_besides(&self, machine: usize) -> usize {
+        let is_unrepaired = |other: &usize| *other != machine && self.machines[*other].lost_disk;
+        let present = self.present_machines();
+        if self.settings.splits_core {
+            present.iter().filter(|other| is_unrepaired(other)).count()
+        } else {
+            0
+        }
+    }
+
+    /// Disks that were lost are replaced once nothing is lost, and the core not split, for as long as that takes.
+    pub(crate) fn forget_repaired_disks(&mut self) {
+        let is_whole = self.faults.core_splits == 0 && self.lost_machines().is_empty();
+        if is_whole && self.now >= self.faults.split_until + self.settings.bounds.catch_up_time {
+            self.machines.iter_mut().for_each(|machine| machine.lost_disk = false);
+        }
+    }
+
+    /// Whether the core is split, or more is lost at one time than the budget allows, as may follow from a split: service
+    /// may rest then.
+    pub(crate) fn may_service_rest(&self) -> bool {
+        let lost = self.lost_machines();
+        let is_lost = |index: &usize| self.machines[*index].lost_disk || lost.contains(index);
+        let lost_count = self.present_machines().iter().filter(|index| is_lost(index)).count();
+        self.settings.splits_core && (self.faults.core_splits > 0 || lost_count > self.settings.losses)
+    }
+
     /// Machines that count as lost: by a fault, or as they still catch up after one.
     fn lost_machines(&self) -> Vec<usize> {
         let is_lost = |index: &usize| {
--- a/crates/fernknot-simulator/src/gateways/faults.rs
+++ b/crates/fernknot-simulator/src/gateways/faults.rs
@@ -33,7 +33,7 @@
     /// SIGTERM.
     fn stop_gateway(&mut self, index: usize) {
         let process = &mut self.gateways.processes[index];
-        let local_time = self.now - process.started_at;
+        let local_time = process.clock.read(self.now);
         if let Some(gateway) = process.gateway.as_mut() {
             gateway.stop(local_time, &mut process.ports);
         }
--- a/crates/fernknot-simulator/src/gateways/processes.rs
+++ b/crates/fernknot-simulator/src/gateways/processes.rs
@@ -8,7 +8,7 @@
 use crate::rng::splitmix64;
 use crate::settings::SeededBug;
 use crate::simulation::Simulation;
-use crate::time::{micros, millis};
+use crate::time::{ProcessClock, micros, millis};
 use crate::topology::{FIRST_GATEWAY, controller_addr};
 use fernknot::interface::Nanos;
 use fernknot_gateway::{Gateway, GatewayError};
@@ -73,7 +73,7 @@
         let process = &mut self.gateways.processes[index];
         process.gateway = Some(gateway);
         process.incarnation = incarnation;
-        process.started_at = self.now;
+        process.clock = ProcessClock::new(self.now, Nanos(0), self.settings.clock_rate(incarnation));
         process.disturbed_at = self.now;
         process.refuses_clients = false;
         process.is_frozen = false;
@@ -136,7 +136,7 @@
             self.discovery.seeds.iter().map(|seed| controller_addr(*seed)).collect();
         let process = &mut self.gateways.processes[index];
         process.turn_at = None;
-        let local_time = self.now - process.started_at;
+        let local_time = process.clock.read(self.now);
         let Some(gateway) = process.gateway.as_mut().filter(|_| !process.is_frozen) else { return };
         gateway.step(local_time, process.inbox.drain(..), &mut process.ports);
         process.ports.unread_after_reset.clear();
@@ -144,7 +144,7 @@
             gateway.set_seeds(&seeds);
         }
         let has_shut_down = gateway.poll_shutdown(local_time, &mut process.ports);
-        let delay = gateway.next_wakeup() - local_time;
+        let delay = process.clock.span_of(gateway.next_wakeup() - local_time);
         self.flush_gateway(index);
         if has_shut_down {
             return self.end_gateway(index);
--- a/crates/fernknot-simulator/src/gateways/state.rs
+++ b/crates/fernknot-simulator/src/gateways/state.rs
@@ -2,6 +2,7 @@
 
 use crate::ports::SimulatedPorts;
 use crate::settings::Settings;
+use crate::time::ProcessClock;
 use crate::topology::{FIRST_GATEWAY, ZONES};
 use fernknot::interface::Nanos;
 use fernknot_gateway::{Gateway, ListenerIds};
@@ -163,7 +164,7 @@
     pub gateway: Option<Gateway>,
     /// The incarnation of the process that runs, or ran last; 0 before the first.
     pub incarnation: u64,
-    pub started_at: Nanos,
+    pub clock: ProcessClock,
     /// No client can connect.
     pub refuses_clients: bool,
     pub is_frozen: bool,
@@ -184,7 +185,7 @@
         GatewayProcess {
             gateway: None,
             incarnation: 0,
-            started_at: Nanos(0),
+            clock: ProcessClock::new(Nanos(0), Nanos(0), 1.0),
             refuses_clients: true,
             is_frozen: false,
             ports,
--- a/crates/fernknot-simulator/src/network/connectivity.rs
+++ b/crates/fernknot-simulator/src/network/connectivity.rs
@@ -72,6 +72,9 @@
 
     /// Whether nothing has disturbed the core for a while, and a majority of it runs.
     pub(crate) fn is_core_stable(&self) -> bool {
+        if self.may_service_rest() {
+            return false;
+        }
         let is_calm = self.now - self.network.core_disturbed_at >= self.settings.bounds.contact_timeout;
         is_calm && self.network.slow_faults == 0 && !self.majority_members().is_empty()
     }
--- a/crates/fernknot-simulator/src/run.rs
+++ b/crates/fernknot-simulator/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::checks::requests::RequestEvent;
 use crate::checks::rule::{Rule, Violation};
-use crate::faults::schedule::{Fault, draw_fault_schedule};
+use crate::faults::schedule::{Fault, draw_core_splits, draw_fault_schedule};
 use crate::linearizability::Version;
 use crate::rng::Rng;
 use crate::settings::Settings;
@@ -15,6 +15,8 @@
 const FIRST_FAULT_AT: Nanos = millis(2500);
 /// What the fault schedule's seed differs in from that of everything else.
 const SCHEDULE_SEED: u64 = 0x7200_b1e5;
+/// The same for partitions of the core into halves.
+const SPLIT_SEED: u64 = 0x5b11_7c0e;
 
 /// The result of a run.
 #[derive(Clone, Debug, Default)]
@@ -38,7 +40,12 @@
 /// The faults that belong to the seed of these settings.
 pub fn fault_schedule(settings: &Settings) -> Vec<Fault> {
     let rng = Rng::new(settings.seed ^ SCHEDULE_SEED);
-    draw_fault_schedule(&rng, FIRST_FAULT_AT, settings.fault_period)
+    let mut faults = draw_fault_schedule(&rng, FIRST_FAULT_AT, settings.fault_period);
+    if settings.splits_core {
+        let rng = Rng::new(settings.seed ^ SPLIT_SEED);
+        faults.extend(draw_core_splits(&rng, FIRST_FAULT_AT, settings.fault_period));
+    }
+    faults
 }
 
 /// Runs with the faults of the seed.
--- a/crates/fernknot-simulator/src/settings.rs
+++ b/crates/fernknot-simulator/src/settings.rs
@@ -1,5 +1,6 @@
 //! What a run consists of: its seed, its size, the promised bounds, and a bug that may be seeded.
 
+use crate::rng::splitmix64;
 use crate::time::millis;
 use fernknot::interface::Nanos;
 
@@ -12,6 +13,13 @@
 /// The window of the retry budget.
 pub const RETRY_WINDOW: Nanos = millis(10_000);
 
+/// Clients of a run for each of its gateways.
+const CLIENTS_PER_GATEWAY: usize = 2;
+/// How much faster or slower than the simulated clock that of a process runs at most: far more than real ones.
+const MAX_CLOCK_DRIFT: f64 = 0.005;
+/// Makes the draw of a clock's rate differ from other draws by the same numbers.
+const CLOCK_SEED_ROTATION: u32 = 16;
+
 /// The times that the system promises, as the deployment files give them.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -103,6 +111,10 @@
     pub fault_period: Nanos,
     /// More machines may be lost at one time than `losses`.
     pub exceeds_fault_budget: bool,
+    /// The core is partitioned into two halves now and then, whatever is lost besides.
+    pub splits_core: bool,
+    /// The clocks of processes run at different rates.
+    pub uneven_clocks: bool,
     /// Whether a log is written.
     pub trace: bool,
     /// The promised times.
@@ -127,6 +139,8 @@
             max_changes: 60,
             fault_period: millis(30_000),
             exceeds_fault_budget: false,
+            splits_core: false,
+            uneven_clocks: false,
             trace: false,
             bounds: Bounds::default(),
             seeded_bug: None,
@@ -136,7 +150,22 @@
     /// A run of the whole system: production gateways among clients and nodes that answer.
     pub fn whole_system(seed: u64, members: usize) -> Settings {
         let settings = Settings::new(seed, members);
-        Settings { subscribers: 0, gateways: 2, clients: 4, nodes: 4, ..settings }
+        Settings { subscribers: 0, nodes: 4, ..settings }.with_gateways(2)
+    }
+
+    /// The same with so many gateways, and clients in proportion.
+    pub fn with_gateways(self, gateways: usize) -> Settings {
+        Settings { gateways, clients: CLIENTS_PER_GATEWAY * gateways, ..self }
+    }
+
+    /// The rate of a process's clock beside the simulated one.
+    pub(crate) fn clock_rate(&self, incarnation: u64) -> f64 {
+        if !self.uneven_clocks {
+            return 1.0;
+        }
+        let draw = splitmix64(self.seed ^ incarnation.rotate_left(CLOCK_SEED_ROTATION));
+        let share = draw as f64 / u64::MAX as f64;
+        1.0 + MAX_CLOCK_DRIFT * (2.0 * share - 1.0)
     }
 
     /// Whether this bug is seeded.
--- a/crates/fernknot-simulator/tests/seeds.rs
+++ b/crates/fernknot-simulator/tests/seeds.rs
@@ -3,6 +3,7 @@
 use fernknot_simulator::Violation;
 use fernknot_simulator::run::{fault_schedule, shrink, simulate, simulate_with_faults};
 use fernknot_simulator::settings::{SeededBug, Settings};
+use fernknot_simulator::time::millis;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use test_case::test_case;
@@ -35,6 +36,32 @@
     assert_eq!(run_all(runs.collect()), Vec::new());
 }
 
+#[test_case(3, 60)]
+#[test_case(5, 20)]
+fn given_a_core_that_is_split_in_halves_when_losses_overlap_then_nothing_acknowledged_is_lost(
+    members: usize,
+    seeds: u64,
+) {
+    let runs = (0..seeds).map(|seed| Settings { splits_core: true, ..Settings::new(seed, members) });
+    assert_eq!(run_all(runs.collect()), Vec::new());
+}
+
+#[test]
+fn given_clocks_at_different_rates_when_seeds_run_then_no_rule_breaks() {
+    let runs = (0..40).map(|seed| Settings { uneven_clocks: true, ..Settings::new(seed, 3) });
+    assert_eq!(run_all(runs.collect()), Vec::new());
+}
+
+#[test]
+fn given_six_gateways_when_seeds_of_the_whole_system_run_then_no_rule_breaks() {
+    let few_faults = millis(8000);
+    let runs = (0..6).map(|seed| Settings {
+        fault_period: few_faults,
+        ..Settings::whole_system(seed, 3).with_gateways(6)
+    });
+    assert_eq!(run_all(runs.collect()), Vec::new());
+}
+
 #[test]
 fn given_one_seed_when_it_runs_twice_then_the_logs_are_alike() {
     for seed in [3, 17] {
