Add the types that tenants' keys and usage reports share

Two tenants with one key are invalid; the error names both tenants and neither key. Settings get the platform's interface and the bounds of duties. `fernknot-usage` holds reports of usage as totals by incarnation.

Messages get new variants at the end; the recorded encodings of all earlier messages are unchanged (test of fernknot-rpc), and the new ones are recorded.

--- a/crates/fernknot-cli/src/check.rs
+++ b/crates/fernknot-cli/src/check.rs
@@ -3,7 +3,7 @@
 use crate::arguments::Arguments;
 use crate::error::CliError;
 use crate::output::print_line;
-use fernknot_schema::{ProcessSettings, RoutingConfig};
+use fernknot_schema::{ProcessSettings, SystemConfig};
 use std::path::Path;
 
 pub fn run(arguments: &Arguments) -> Result<(), CliError> {
@@ -14,9 +14,9 @@
         let settings = ProcessSettings::parse(&bytes).map_err(CliError::invalid(path))?;
         format!("{} in {}", settings.node_name, settings.zone)
     } else {
-        let config = RoutingConfig::parse(&bytes).map_err(CliError::invalid(path))?;
-        let (routes, services) = (config.routes.len(), config.services.len());
-        format!("version {}, {routes} routes, {services} services", config.epoch)
+        let config = SystemConfig::validate(&bytes).map_err(CliError::invalid(path))?;
+        let (routes, services) = (config.routing.routes.len(), config.routing.services.len());
+        format!("version {}, {routes} routes, {services} services", config.routing.epoch)
     };
     print_line(format!("{}: sound; {summary}", path.display()));
     Ok(())
--- a/crates/fernknot-cli/src/config.rs
+++ b/crates/fernknot-cli/src/config.rs
@@ -4,7 +4,7 @@
 use crate::check::read_file;
 use crate::error::CliError;
 use crate::output::print_line;
-use fernknot_schema::RoutingConfig;
+use fernknot_schema::SystemConfig;
 use fernknot_testbed::operator::{CallOutcome, Operator};
 use std::ffi::OsStr;
 use std::io::Write;
@@ -59,8 +59,8 @@
 
 fn replace(operator: &Operator, path: &Path, base: u64) -> Result<(), CliError> {
     let bytes = read_file(path)?;
-    let config = RoutingConfig::parse(&bytes).map_err(CliError::invalid(path))?;
-    let epoch = config.epoch;
+    let config = SystemConfig::validate(&bytes).map_err(CliError::invalid(path))?;
+    let epoch = config.routing.epoch;
     let failure = match operator.replace(&bytes, base) {
         CallOutcome::Completed { status: 200, controller, .. } => {
             print_line(format!("accepted: version {epoch} is in force, says {controller}"));
--- a/crates/fernknot-controller/src/calls.rs
+++ b/crates/fernknot-controller/src/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::evidence::QuorumEvidence;
 use fernknot_http_api::{Body, Endpoint, MatchedRequest, Reply};
-use fernknot_schema::{NodeHeartbeat, RoutingConfig, ValidationError, json_digest};
+use fernknot_schema::{NodeHeartbeat, SystemConfig, ValidationError, json_digest};
 use std::sync::Arc;
 
 /// HTTP status codes, also used in messages between controllers.
@@ -155,10 +155,15 @@
         let request = request.request;
         let base_epoch = request.header("Base-Epoch").map(str::trim);
         let base_epoch = base_epoch.and_then(|epoch| epoch.parse().ok());
-        match (RoutingConfig::parse(&request.body), base_epoch) {
+        match (SystemConfig::validate(&request.body), base_epoch) {
             (Ok(config), Some(base_epoch)) => {
                 let body = request.body.clone();
-                Ok(ReplaceConfig { base_epoch, epoch: config.epoch, digest: json_digest(&body), body })
+                Ok(ReplaceConfig {
+                    base_epoch,
+                    epoch: config.routing.epoch,
+                    digest: json_digest(&body),
+                    body,
+                })
             }
             (Ok(_), None) => Err(Reply::error(status::BAD_REQUEST, "Base-Epoch: is no whole number")),
             (Err(errors), _) => Err(bad_request(&errors)),
--- a/crates/fernknot-controller/src/control_state.rs
+++ b/crates/fernknot-controller/src/control_state.rs
@@ -2,7 +2,7 @@
 //! committed last.
 
 use bitcode::{Decode, Encode};
-use fernknot_schema::RoutingConfig;
+use fernknot_schema::{DigestKey, SystemConfig};
 use std::sync::Arc;
 use thiserror::Error;
 
@@ -110,7 +110,7 @@
     /// Shared copy of the body, so that replies need no copy per caller.
     pub body: Arc<[u8]>,
     /// Parsed configuration; None before the first one.
-    pub config: Option<RoutingConfig>,
+    pub config: Option<SystemConfig>,
 }
 
 impl ActiveConfig {
@@ -120,11 +120,15 @@
     }
 
     /// Decodes a delivered state and parses its configuration.
-    pub fn parse(revision: u64, state: &[u8]) -> Result<ActiveConfig, ActivationError> {
+    pub fn parse(
+        revision: u64,
+        state: &[u8],
+        digest_key: &DigestKey,
+    ) -> Result<ActiveConfig, ActivationError> {
         let state = ControlState::decode(state)?;
         let config = match state.body.is_empty() {
             true => None,
-            false => Some(parse_config(&state)?),
+            false => Some(parse_config(&state, digest_key)?),
         };
         let body = Arc::from(&state.body[..]);
         Ok(ActiveConfig { revision, state, body, config })
@@ -132,12 +136,12 @@
 
     /// Number of routes in the configuration.
     pub fn route_count(&self) -> usize {
-        self.config.as_ref().map_or(0, |config| config.routes.len())
+        self.config.as_ref().map_or(0, |config| config.routing.routes.len())
     }
 }
 
-fn parse_config(state: &ControlState) -> Result<RoutingConfig, ActivationError> {
-    RoutingConfig::parse(&state.body).map_err(|errors| {
+fn parse_config(state: &ControlState, digest_key: &DigestKey) -> Result<SystemConfig, ActivationError> {
+    SystemConfig::parse(&state.body, digest_key).map_err(|errors| {
         let reason = errors.first().map(ToString::to_string).unwrap_or_default();
         ActivationError::Config { epoch: state.epoch, reason }
     })
--- a/crates/fernknot-controller/src/controller/changes.rs
+++ b/crates/fernknot-controller/src/controller/changes.rs
@@ -13,7 +13,7 @@
 use fernknot::interface::Nanos;
 use fernknot_consensus::Revision;
 use fernknot_rpc::{ControllerMessage, ControllerToGateway};
-use fernknot_schema::{RoutingConfig, json_digest};
+use fernknot_schema::{SystemConfig, json_digest};
 use fernknot_telemetry::component;
 use log::Level;
 use std::net::SocketAddrV4;
@@ -50,10 +50,14 @@
         body: Vec<u8>,
     ) {
         let origin = RequestOrigin::Peer(from, call);
-        let outcome = match RoutingConfig::parse(&body) {
+        let outcome = match SystemConfig::parse(&body, &self.settings.digest_key) {
             Ok(config) => {
-                let request =
-                    ReplaceConfig { base_epoch, epoch: config.epoch, digest: json_digest(&body), body };
+                let request = ReplaceConfig {
+                    base_epoch,
+                    epoch: config.routing.epoch,
+                    digest: json_digest(&body),
+                    body,
+                };
                 self.admit_change(origin, request, CALL_TIMEOUT.times(LEADER_TIMEOUT_SHARE))
             }
             Err(_) => Some(ChangeOutcome::Unknown("garbled on its way to the leader")),
@@ -145,7 +149,7 @@
     /// Activates a state that the consensus member delivered: finishes the changes that it lists as committed, and
     /// sends it to the subscribers that lack it. A state that can't be parsed is logged and ignored.
     pub(super) fn activate_config(&mut self, revision: Revision, state: &[u8]) {
-        let config = match ActiveConfig::parse(revision.0, state) {
+        let config = match ActiveConfig::parse(revision.0, state, &self.settings.digest_key) {
             Ok(config) => config,
             Err(error) => {
                 return self.actions.log(Level::Error, component::ROUTING_CONFIG, error.to_string());
@@ -175,6 +179,13 @@
         let Some(config) = self.active_config.config.clone() else { return };
         let revision = self.active_config.revision;
         self.subscribers.mark_sent(&to, revision);
-        self.actions.notify(to, ControllerToGateway::Config { revision, config });
+        let SystemConfig { routing: config, access } = config;
+        self.actions.notify(
+            to,
+            match access {
+                None => ControllerToGateway::Config { revision, config },
+                Some(access) => ControllerToGateway::ConfigWithAccessControl { revision, config, access },
+            },
+        );
     }
 }
--- a/crates/fernknot-controller/src/controller/gateway_messages.rs
+++ b/crates/fernknot-controller/src/controller/gateway_messages.rs
@@ -33,7 +33,7 @@
             GatewayToController::Inspect(topic) => self.reply_to_inspection(from, topic),
             GatewayToController::ForceView { lost } => self.reply_to_forced_view(from, &lost),
             // The host passes these to `handle_peer_message`, with the address of the sender.
-            GatewayToController::Peer(_) => {}
+            GatewayToController::Peer(_) | GatewayToController::UsageReports(_) => {}
         }
     }
 
--- a/crates/fernknot-controller/src/controller/peer_messages.rs
+++ b/crates/fernknot-controller/src/controller/peer_messages.rs
@@ -61,6 +61,7 @@
             ControllerMessage::KnownControllers(addrs) => {
                 addrs.into_iter().take(MAX_ADVERTISED_CONTROLLERS).for_each(|addr| self.add_peer(addr));
             }
+            ControllerMessage::UsageReports(_) | ControllerMessage::TimeOfDay { .. } => {}
         }
     }
 
--- a/crates/fernknot-controller/src/host/settings.rs
+++ b/crates/fernknot-controller/src/host/settings.rs
@@ -3,7 +3,7 @@
 use crate::host::limits::RESERVED_DESCRIPTORS;
 use crate::settings::ControllerSettings;
 use fernknot::interface::Nanos;
-use fernknot_schema::ProcessSettings;
+use fernknot_schema::{DigestKey, ProcessSettings};
 use std::error::Error;
 use std::fmt::{self, Display, Formatter};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -79,8 +79,13 @@
     settings.seeds.iter().map(|seed| internal_addr(*seed.ip(), settings)).collect()
 }
 
-/// Returns the settings of the controller itself. `seed` must differ between any two starts, on any machines.
-pub fn controller_settings(settings: &ProcessSettings, seed: u64) -> ControllerSettings {
+/// Returns the settings of the controller itself. `seed` must differ between any two starts, on any machines;
+/// `digest_key` is the secret of the digests of the tenants' keys.
+pub fn controller_settings(
+    settings: &ProcessSettings,
+    seed: u64,
+    digest_key: DigestKey,
+) -> ControllerSettings {
     ControllerSettings {
         addr: internal_addr(settings.ip, settings),
         zone: settings.zone.clone(),
@@ -92,6 +97,7 @@
         contact_timeout: contact_timeout(settings),
         budget_window: Nanos::from_millis(settings.bounds.retry_window_s * 1000.0),
         seed,
+        digest_key,
     }
 }
 
--- a/crates/fernknot-controller/src/host/state.rs
+++ b/crates/fernknot-controller/src/host/state.rs
@@ -14,7 +14,7 @@
 use fernknot_net::{ConnectionId, EventLoop, EventLoopSettings, Signals};
 use fernknot_peer_sampling::{PeerDescriptor, Role};
 use fernknot_rpc::ShuffleProtocol;
-use fernknot_schema::ProcessSettings;
+use fernknot_schema::{DigestKey, ProcessSettings};
 use fernknot_telemetry::component;
 use std::net::SocketAddrV4;
 
@@ -88,7 +88,7 @@
 
 impl Host {
     /// Opens the listeners and starts to read the disk. `settings` are those of `settings_file`; `seed` must differ
-    /// between any two starts, on any machines.
+    /// between any two starts, on any machines. `digest_key` is the secret of the digests of the tenants' keys.
     ///
     /// # Errors
     /// If the settings lack something that a controller needs, or a system call fails.
@@ -96,11 +96,12 @@
         settings: ProcessSettings,
         settings_file: SettingsFile,
         seed: u64,
+        digest_key: DigestKey,
     ) -> Result<Host, ProcessError> {
         check_settings(&settings).map_err(|unsuitable| ProcessError::Settings(unsuitable.to_string()))?;
         let signals = Signals::install().map_err(ProcessError::system("watch for signals"))?;
         let limits = HostLimits::new(&settings);
-        let controller_settings = controller_settings(&settings, seed);
+        let controller_settings = controller_settings(&settings, seed, digest_key);
         let loop_settings = event_loop_settings(&limits, &controller_settings);
         let mut event_loop = EventLoop::new(loop_settings).map_err(ProcessError::system("poll"))?;
         let control_listener = event_loop.listen(control_addr(&settings))?;
--- a/crates/fernknot-controller/src/main.rs
+++ b/crates/fernknot-controller/src/main.rs
@@ -2,7 +2,7 @@
 
 use fernknot_controller::host::{Host, check_settings};
 use fernknot_net::process::{Command, Program, SettingsFile, init_log};
-use fernknot_schema::ProcessSettings;
+use fernknot_schema::{DigestKey, ProcessSettings};
 use fernknot_telemetry::component;
 use std::hash::{BuildHasher, Hasher};
 use std::process::ExitCode;
@@ -36,11 +36,22 @@
     }
     init_log();
     let seed = random_seed(&settings);
-    Ok(serve(settings, settings_file, seed))
+    match random_digest_key() {
+        Ok(digest_key) => Ok(serve(settings, settings_file, seed, digest_key)),
+        Err(error) => {
+            log::error!(target: component::PROCESS, "cannot read random numbers of the system: {error}");
+            Err(ExitCode::FAILURE)
+        }
+    }
 }
 
-fn serve(settings: ProcessSettings, settings_file: SettingsFile, seed: u64) -> ExitCode {
-    match Host::new(settings, settings_file, seed) {
+fn serve(
+    settings: ProcessSettings,
+    settings_file: SettingsFile,
+    seed: u64,
+    digest_key: DigestKey,
+) -> ExitCode {
+    match Host::new(settings, settings_file, seed, digest_key) {
         Ok(mut host) => {
             log::info!(target: component::PROCESS, "controller started");
             host.run();
@@ -53,6 +64,13 @@
     }
 }
 
+/// Returns a secret for the digests of the tenants' keys.
+fn random_digest_key() -> Result<DigestKey, getrandom::Error> {
+    let mut random = [0; DigestKey::BYTES];
+    getrandom::fill(&mut random)?;
+    Ok(DigestKey::new(random))
+}
+
 /// Returns a seed derived from the system's random numbers, the address and the process identifier, so that two runs
 /// of the program never share one, even on different machines.
 fn random_seed(settings: &ProcessSettings) -> u64 {
--- a/crates/fernknot-controller/src/settings.rs
+++ b/crates/fernknot-controller/src/settings.rs
@@ -2,6 +2,7 @@
 
 use fernknot::interface::Nanos;
 use fernknot_consensus::{ConsensusSettings, Member, MemberId};
+use fernknot_schema::DigestKey;
 use std::net::SocketAddrV4;
 
 /// Suspicion timeout, after which the consensus members consider a silent one failed, as a share of the contact
@@ -42,6 +43,8 @@
     /// Seed of the random choices, also the identifier of this incarnation of the process: must differ between any
     /// two starts.
     pub seed: u64,
+    /// Secret of the digests that gateways get in place of the tenants' keys.
+    pub digest_key: DigestKey,
 }
 
 impl ControllerSettings {
--- a/crates/fernknot-controller/tests/common/mod.rs
+++ b/crates/fernknot-controller/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use fernknot_ownership::{GatewayRecord, IncarnationId};
 use fernknot_protocol::buffer::Buffer;
 use fernknot_rpc::{ControllerMessage, ControllerToGateway, GatewayToController, Subscription};
+use fernknot_schema::DigestKey;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -126,6 +127,7 @@
             contact_timeout: ms(4000),
             budget_window: ms(10_000),
             seed: incarnation * 1_000_003,
+            digest_key: DigestKey::new([machine_id as u8; DigestKey::BYTES]),
         };
         let machine = self.machines.entry(machine_id).or_insert_with(|| Machine {
             controller: None,
--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -323,7 +323,10 @@
                 updates.push(Update::SnapshotComplete { watermark, subscription });
             }
             ControllerToGateway::Assignment(assignment) => self.handle_assignment(now, assignment),
-            ControllerToGateway::InspectionReport(_) | ControllerToGateway::ForceViewResult(_) => {}
+            ControllerToGateway::ConfigWithAccessControl { .. }
+            | ControllerToGateway::TimeOfDay { .. }
+            | ControllerToGateway::InspectionReport(_)
+            | ControllerToGateway::ForceViewResult(_) => {}
         }
     }
 
@@ -385,7 +388,7 @@
                 let rejection = Err(NO_VIEW_REASON.into());
                 send(network, id, &ControllerToGateway::ForceViewResult(rejection));
             }
-            GatewayToController::Peer(_) => {}
+            GatewayToController::Peer(_) | GatewayToController::UsageReports(_) => {}
         }
     }
 
--- a/crates/fernknot-rpc/src/messages.rs
+++ b/crates/fernknot-rpc/src/messages.rs
@@ -4,7 +4,8 @@
 use bitcode::{Decode, Encode};
 use fernknot_ownership::{Assignment, GatewayRecord};
 use fernknot_registry::NodeRecord;
-use fernknot_schema::RoutingConfig;
+use fernknot_schema::{AccessControl, RoutingConfig};
+use fernknot_usage::UsageReport;
 use std::net::SocketAddrV4;
 
 /// Maximum number of records or identifiers in one message that carries a list.
@@ -60,6 +61,8 @@
         /// Addresses of the lost controllers, as the report on views shows them.
         lost: Vec<SocketAddrV4>,
     },
+    /// Usage that the sender has counted, and that its own subscribers have reported to it.
+    UsageReports(Vec<UsageReport>),
 }
 
 /// Message from one controller to another, over a connection that the sender opened.
@@ -116,6 +119,13 @@
     },
     /// Internal addresses of other controllers that the sender knows.
     KnownControllers(Vec<SocketAddrV4>),
+    /// Usage that gateways have reported to the sender since its last message of this kind.
+    UsageReports(Vec<UsageReport>),
+    /// Time of day by the sender's own clock when it sent the message, in milliseconds since the beginning of 1970.
+    TimeOfDay {
+        /// Time of day in milliseconds.
+        unix_ms: u64,
+    },
 }
 
 /// Address and failure domain of a controller, as sent in heartbeats.
@@ -163,6 +173,20 @@
     InspectionReport(String),
     /// Outcome of [`GatewayToController::ForceView`]: the number of the view, or the reason for the rejection.
     ForceViewResult(Result<u64, String>),
+    /// Configuration that is active at the sender, like [`ControllerToGateway::Config`], of which the routes need keys.
+    ConfigWithAccessControl {
+        /// Revision of the control state with this configuration; a later configuration has a higher one.
+        revision: u64,
+        /// Routes and services, complete in every message.
+        config: RoutingConfig,
+        /// Tenants and their keys.
+        access: AccessControl,
+    },
+    /// Time of day on which the controllers agree, when the message was sent. Sent before a heartbeat.
+    TimeOfDay {
+        /// Time of day in milliseconds since the beginning of 1970.
+        unix_ms: u64,
+    },
 }
 
 /// Report that an operator can request from a running process.
--- a/crates/fernknot-rpc/tests/common/samples.rs
+++ b/crates/fernknot-rpc/tests/common/samples.rs
@@ -4,7 +4,10 @@
 use fernknot_ownership::{Assignment, FencingToken, GatewayRecord, IncarnationId};
 use fernknot_peer_sampling::{PeerDescriptor, Role};
 use fernknot_registry::{NodeRecord, NodeState};
-use fernknot_schema::{ClientLimits, Route, RouteTarget, RoutingConfig, Service, TrafficClass};
+use fernknot_schema::{
+    AccessControl, ClientLimits, DigestKey, Route, RouteTarget, RoutingConfig, Service, Tenant, TrafficClass,
+};
+use fernknot_usage::{UsageReport, WindowNumber, WindowUsage};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 pub fn addr(number: u8) -> SocketAddrV4 {
@@ -75,6 +78,26 @@
     }
 }
 
+/// Returns one tenant with keys and a rank, and one without.
+pub fn access_control() -> AccessControl {
+    let digest_key = DigestKey::new([47; DigestKey::BYTES]);
+    let keys = [b"key-1", b"key-2"].map(|key| digest_key.digest(key)).to_vec();
+    let tenants = vec![
+        Tenant { name: "tenant-1".into(), rank: Some(4701), keys },
+        Tenant { name: "tenant-2".into(), rank: None, keys: Vec::new() },
+    ];
+    AccessControl { digest_key, tenants, public_routes: vec![false, true, false] }
+}
+
+pub fn usage_report(number: u64) -> UsageReport {
+    let requests = vec![("tenant-1".into(), 4810 + number), ("tenant-2".into(), 4820 + number)];
+    let window = WindowNumber(4830 + number);
+    UsageReport {
+        incarnation: IncarnationId(0x4800 + number),
+        windows: vec![WindowUsage { window, requests }],
+    }
+}
+
 fn route_to_one_service() -> Route {
     Route {
         name: "orders".into(),
--- a/crates/fernknot-rpc/tests/wire_format.rs
+++ b/crates/fernknot-rpc/tests/wire_format.rs
@@ -12,7 +12,7 @@
     ShuffleDatagram, Subscription, read_message, write_message,
 };
 use fixtures::Fixtures;
-use samples::{addr, assignment, descriptors, gateway, nodes, routing_config};
+use samples::{access_control, addr, assignment, descriptors, gateway, nodes, routing_config, usage_report};
 
 /// Limit in bytes on the length of a sample message that is read back.
 const MAX_MESSAGE_BYTES: usize = 1024;
@@ -32,6 +32,7 @@
         GatewayToController::Peer(message) => recorded_name_of_controller_message(message),
         GatewayToController::Inspect(topic) => recorded_name_of_topic(*topic),
         GatewayToController::ForceView { .. } => "force-view",
+        GatewayToController::UsageReports(_) => "usage",
     }
 }
 
@@ -48,6 +49,8 @@
         ControllerMessage::ForwardChange { .. } => "peer-replace",
         ControllerMessage::ChangeOutcome { .. } => "peer-replaced",
         ControllerMessage::KnownControllers(_) => "peer-addresses",
+        ControllerMessage::UsageReports(_) => "peer-usage",
+        ControllerMessage::TimeOfDay { .. } => "peer-time",
     }
 }
 
@@ -71,6 +74,8 @@
         ControllerToGateway::InspectionReport(_) => "told-answer",
         ControllerToGateway::ForceViewResult(Ok(_)) => "told-view-forced",
         ControllerToGateway::ForceViewResult(Err(_)) => "told-view-not-forced",
+        ControllerToGateway::ConfigWithAccessControl { .. } => "told-configuration-with-tenants",
+        ControllerToGateway::TimeOfDay { .. } => "told-time",
     }
 }
 
@@ -98,6 +103,7 @@
         GatewayToController::Inspect(InspectionTopic::Ownership),
         GatewayToController::Inspect(InspectionTopic::Counters),
         GatewayToController::ForceView { lost: vec![addr(5), addr(6)] },
+        GatewayToController::UsageReports(vec![usage_report(1), usage_report(2)]),
     ]
 }
 
@@ -124,6 +130,8 @@
             reason: "another version is in force".into(),
         },
         ControllerMessage::KnownControllers(vec![addr(10), addr(11)]),
+        ControllerMessage::UsageReports(vec![usage_report(3)]),
+        ControllerMessage::TimeOfDay { unix_ms: 213 },
     ]
 }
 
@@ -146,6 +154,12 @@
         ControllerToGateway::InspectionReport("what is held here".into()),
         ControllerToGateway::ForceViewResult(Ok(305)),
         ControllerToGateway::ForceViewResult(Err("a majority is heard".into())),
+        ControllerToGateway::ConfigWithAccessControl {
+            revision: 306,
+            config: routing_config(),
+            access: access_control(),
+        },
+        ControllerToGateway::TimeOfDay { unix_ms: 307 },
     ]
 }
 
--- a/crates/fernknot-schema/src/process_settings.rs
+++ b/crates/fernknot-schema/src/process_settings.rs
@@ -58,6 +58,8 @@
     pub fault_budget: FaultBudget,
     /// Parameters of the invariants.
     pub bounds: InvariantBounds,
+    /// Interface of the platform that some singleton roles call; `None` if there is none.
+    pub platform_api: Option<PlatformApi>,
 }
 
 impl ProcessSettings {
@@ -72,6 +74,17 @@
     }
 }
 
+/// Interface of the platform for calls that one process at a time has to make.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlatformApi {
+    /// Address for calls.
+    pub address: SocketAddrV4,
+    /// Names of the duties that are due to the platform.
+    pub duties: Vec<String>,
+    /// Largest number of such calls a second, of all processes together; the platform rejects those beyond it.
+    pub duties_per_s: f64,
+}
+
 /// Range of ports, both ends included.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PortRange {
@@ -173,6 +186,23 @@
     pub retry_slack: f64,
     /// Time within which the service to clients has to recover once lost machines are back, in seconds.
     pub recover_s: f64,
+    /// Whether a gateway without contact to a majority of the controllers for longer than `revoke_ms` has to reject
+    /// the requests that need a key.
+    pub revocation_global: bool,
+    /// Time from its acknowledgement within which the removal of a tenant's key has to be in force, in milliseconds.
+    pub revoke_ms: f64,
+    /// Whether the platform rejects calls whose fencing token is lower than one that it has seen.
+    pub fenced: bool,
+    /// Time within which a singleton role may not go from one holder to another and back, in milliseconds.
+    pub lease_ms: f64,
+    /// Time that a process has after a freeze to find out what it may no longer do, in milliseconds.
+    pub thaw_ms: f64,
+    /// Length of the windows over which the usage of tenants is reported, in seconds.
+    pub report_window_s: f64,
+    /// Largest relative error of the usage reported for a tenant.
+    pub usage_error: f64,
+    /// Time from the end of a window within which its usage has to be reported, in seconds.
+    pub usage_delay_s: f64,
 }
 
 impl Default for InvariantBounds {
@@ -193,6 +223,14 @@
             retry_window_s: 10.0,
             retry_slack: 10.0,
             recover_s: 12.0,
+            revocation_global: false,
+            revoke_ms: 5000.0,
+            fenced: true,
+            lease_ms: 3000.0,
+            thaw_ms: 300.0,
+            report_window_s: 5.0,
+            usage_error: 0.05,
+            usage_delay_s: 10.0,
         }
     }
 }
--- a/crates/fernknot-schema/src/process_settings_parser.rs
+++ b/crates/fernknot-schema/src/process_settings_parser.rs
@@ -6,13 +6,14 @@
 
 use crate::object_reader::{ErrorCollector, ObjectReader, parse_object};
 use crate::process_settings::{
-    BindAddrs, FaultBudget, InvariantBounds, PortRange, ProcessSettings, ResourceLimits,
+    BindAddrs, FaultBudget, InvariantBounds, PlatformApi, PortRange, ProcessSettings, ResourceLimits,
     SERVES_CONTROL_PLANE, SERVES_EDGE,
 };
 use crate::validation_error::ValidationError;
 
 const EXPECTED_SOCKET_ADDRESS: &str = "an IPv4 address with a port";
 const DEFAULT_HEARTBEAT_INTERVAL_MS: f64 = 1000.0;
+const DEFAULT_DUTIES_PER_S: f64 = 10.0;
 const DEFAULT_DISCOVERY: &str = "registry";
 const DEFAULT_CLIENT_ENTRY: &str = "vip";
 
@@ -65,9 +66,20 @@
         invariants: root.list("invariants", "a string"),
         fault_budget,
         bounds,
+        platform_api: parse_platform_api(root),
     }
 }
 
+/// Returns the platform's interface, or `None` after recording the errors of one that is given.
+fn parse_platform_api(root: &ObjectReader<'_>) -> Option<PlatformApi> {
+    root.get("cloud_api")?;
+    let api = root.nested("cloud_api");
+    api.require(&["address"]);
+    let duties_per_s = api.positive_or("duty_per_s", DEFAULT_DUTIES_PER_S);
+    let duties = api.list("duties", "a string");
+    Some(PlatformApi { address: api.parsed("address", EXPECTED_SOCKET_ADDRESS)?, duties, duties_per_s })
+}
+
 fn parse_bind_addrs(bind: &ObjectReader<'_>) -> BindAddrs {
     BindAddrs {
         front_addr: bind.parsed("front_addr", EXPECTED_SOCKET_ADDRESS),
@@ -118,6 +130,14 @@
         retry_window_s: number_or("retry_window_s", default.retry_window_s),
         retry_slack: number_or("retry_slack", default.retry_slack),
         recover_s: number_or("recover_s", default.recover_s),
+        revocation_global: bounds.boolean("revocation_global").unwrap_or(default.revocation_global),
+        revoke_ms: number_or("revoke_ms", default.revoke_ms),
+        fenced: bounds.boolean("fenced").unwrap_or(default.fenced),
+        lease_ms: number_or("lease_ms", default.lease_ms),
+        thaw_ms: number_or("thaw_ms", default.thaw_ms),
+        report_window_s: bounds.positive_or("report_window_s", default.report_window_s),
+        usage_error: number_or("usage_error", default.usage_error),
+        usage_delay_s: number_or("usage_delay_s", default.usage_delay_s),
     }
 }
 
--- a/crates/fernknot-schema/src/raw_config.rs
+++ b/crates/fernknot-schema/src/raw_config.rs
@@ -7,6 +7,7 @@
 use schematic::{Config, ConfigError, ConfigLoader, Schematic, ValidateError, ValidateResult};
 use serde::{Deserialize, Deserializer, Serialize, de};
 
+use crate::raw_api_keys::RawApiKeys;
 use crate::routing_config::{ClientLimits, TrafficClass};
 use crate::validation_error::ValidationError;
 
@@ -58,6 +59,8 @@
     pub(crate) backends: Option<Vec<RawService>>,
     #[setting(nested)]
     pub(crate) limits: RawClientLimits,
+    #[setting(nested)]
+    pub(crate) tenants: Option<Vec<RawTenant>>,
 }
 
 /// JSON form of [`crate::Route`].
@@ -82,6 +85,7 @@
     #[setting(validate = validate_fraction)]
     pub(crate) quorum: Option<f64>,
     pub(crate) tries: Option<NonNegativeInteger>,
+    pub(crate) public: bool,
 }
 
 /// JSON form of [`crate::TrafficClass`]; by default requests may not be repeated.
@@ -117,6 +121,16 @@
     pub(crate) tls: bool,
 }
 
+/// JSON form of [`crate::Tenant`].
+#[derive(Config, Debug)]
+#[config(allow_unknown_fields)]
+pub(crate) struct RawTenant {
+    #[setting(required)]
+    pub(crate) name: Option<String>,
+    pub(crate) api_keys: RawApiKeys,
+    pub(crate) rank: Option<NonNegativeInteger>,
+}
+
 /// JSON form of [`crate::ClientLimits`].
 #[derive(Config, Debug)]
 #[config(allow_unknown_fields)]
--- a/crates/fernknot-schema/src/routing_config_parser.rs
+++ b/crates/fernknot-schema/src/routing_config_parser.rs
@@ -1,13 +1,12 @@
-//! Parsing and validation of the operator's routing configuration.
+//! Validation of the operator's configuration.
 
-use std::collections::HashSet;
-use std::fmt::Display;
+use std::collections::{HashMap, HashSet};
 
-use serde::de::IgnoredAny;
-
-use crate::raw_config::{self, RawConfig, RawRoute, RawService, RawWeightedService};
+use crate::raw_config::{RawConfig, RawRoute, RawService, RawTenant, RawWeightedService};
 use crate::route_table::host_without_port;
 use crate::routing_config::{Route, RouteTarget, RoutingConfig, Service, TrafficClass};
+use crate::system_config::SystemConfig;
+use crate::tenant::{AccessControl, ApiKeyDigest, DigestKey, Tenant};
 use crate::validation_error::ValidationError;
 
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
@@ -16,35 +15,22 @@
 const DEFAULT_QUORUM: f64 = 0.0;
 const DEFAULT_MAX_ATTEMPTS: u64 = 1;
 
-impl RoutingConfig {
-    /// Parses and validates a configuration. Unknown keys are ignored, and everything is accepted that the users'
-    /// description of the format does not forbid, since a valid configuration must never be rejected.
-    ///
-    /// # Errors
-    ///
-    /// Returns all errors that were found; the caller responds with status 400.
-    pub fn parse(bytes: &[u8]) -> Result<RoutingConfig, Vec<ValidationError>> {
-        // A strict parser comes first, because `schematic` accepts comments and trailing commas.
-        serde_json::from_slice::<IgnoredAny>(bytes).map_err(not_json)?;
-        let text = std::str::from_utf8(bytes).map_err(not_json)?;
-        validate(raw_config::load(text)?)
-    }
-}
-
-fn not_json(error: impl Display) -> Vec<ValidationError> {
-    vec![ValidationError::new("", format!("cannot be read whole: {error}"))]
-}
-
 /// Checks conditions on several settings at once; `schematic` has checked the single settings.
-fn validate(raw: RawConfig) -> Result<RoutingConfig, Vec<ValidationError>> {
+pub(crate) fn validate(raw: RawConfig, digest_key: &DigestKey) -> Result<SystemConfig, Vec<ValidationError>> {
     let mut errors = Vec::new();
     let services = parse_services(raw.backends.unwrap_or_default(), &mut errors);
-    let routes = parse_routes(raw.routes.unwrap_or_default(), &services, &mut errors);
+    let routes = raw.routes.unwrap_or_default();
+    let public_routes: Vec<bool> = routes.iter().map(|route| route.public).collect();
+    let routes = parse_routes(routes, &services, &mut errors);
+    let tenants = raw.tenants.map(|tenants| parse_tenants(tenants, digest_key, &mut errors));
     if !errors.is_empty() {
         return Err(errors);
     }
     let epoch = raw.epoch.map_or(0, |epoch| epoch.0);
-    Ok(RoutingConfig { epoch, routes, services, limits: raw.limits.resolve() })
+    let routing = RoutingConfig { epoch, routes, services, limits: raw.limits.resolve() };
+    let access =
+        tenants.map(|tenants| AccessControl { digest_key: digest_key.clone(), tenants, public_routes });
+    Ok(SystemConfig { routing, access })
 }
 
 fn parse_services(raw: Vec<RawService>, errors: &mut Vec<ValidationError>) -> Vec<Service> {
@@ -152,6 +138,30 @@
     weighted
 }
 
+fn parse_tenants(
+    raw: Vec<RawTenant>,
+    digest_key: &DigestKey,
+    errors: &mut Vec<ValidationError>,
+) -> Vec<Tenant> {
+    let mut owners: HashMap<ApiKeyDigest, usize> = HashMap::new();
+    let mut list: Vec<Tenant> = Vec::with_capacity(raw.len());
+    for (index, raw) in raw.into_iter().enumerate() {
+        let name = raw.name.unwrap_or_default();
+        let keys: Vec<ApiKeyDigest> =
+            raw.api_keys.0.iter().map(|key| digest_key.digest(key.as_bytes())).collect();
+        for key in &keys {
+            let owner = *owners.entry(*key).or_insert(index);
+            if owner != index {
+                let reason = format!("{name:?} has a key of another tenant, {:?}", list[owner].name);
+                errors.push(ValidationError::new(format!("tenants[{index}].api_keys"), reason));
+            }
+        }
+        let rank = raw.rank.map(|rank| saturating_u32(rank.0));
+        list.push(Tenant { name, rank, keys });
+    }
+    list
+}
+
 fn saturating_u32(number: u64) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
--- a/crates/fernknot-schema/tests/common/mod.rs
+++ b/crates/fernknot-schema/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Valid bodies as fixtures, and functions to make them invalid.
 #![allow(dead_code, reason = "each test file uses some of the fixtures")]
 
-use fernknot_schema::{RoutingConfig, ValidationError};
+use fernknot_schema::{RoutingConfig, SystemConfig, ValidationError};
 use serde_json::{Value, json};
 
 pub fn config_json() -> Value {
@@ -37,7 +37,7 @@
 }
 
 pub fn parse_config(json: &Value) -> Result<RoutingConfig, Vec<ValidationError>> {
-    RoutingConfig::parse(json.to_string().as_bytes())
+    SystemConfig::validate(json.to_string().as_bytes()).map(|config| config.routing)
 }
 
 pub fn settings_json() -> Value {
--- a/crates/fernknot-schema/tests/routing_config.rs
+++ b/crates/fernknot-schema/tests/routing_config.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{changed, config_json, parse_config, paths, without};
-use fernknot_schema::{RouteTarget, RoutingConfig, TrafficClass};
+use fernknot_schema::{RouteTarget, RoutingConfig, SystemConfig, TrafficClass};
 use proptest::prelude::*;
 use serde_json::json;
 use test_case::test_case;
@@ -70,7 +70,7 @@
 #[test_case(""; "empty text")]
 #[test_case("[]"; "a list")]
 fn given_text_that_is_not_a_strict_json_object_when_parsed_then_it_is_rejected(text: &str) {
-    assert!(RoutingConfig::parse(text.as_bytes()).is_err());
+    assert!(SystemConfig::validate(text.as_bytes()).is_err());
 }
 
 #[test]
@@ -93,7 +93,7 @@
         let mut bytes = config_json().to_string().into_bytes();
         let index = index % bytes.len();
         if truncate { bytes.truncate(index) } else { bytes[index] = byte }
-        let _ = RoutingConfig::parse(&bytes);
+        let _ = SystemConfig::validate(&bytes);
         fernknot_schema::json_digest(&bytes);
     }
 }
--- a/crates/fernknot-simulator/src/controllers/process.rs
+++ b/crates/fernknot-simulator/src/controllers/process.rs
@@ -10,6 +10,7 @@
 use crate::topology::{controller_addr, zone_name};
 use fernknot::interface::Nanos;
 use fernknot_controller::{Controller, ControllerSettings};
+use fernknot_schema::DigestKey;
 
 /// Time that a controller has for a graceful shutdown before it is killed: a quarter of the setting `grace_s` of 6 s,
 /// as in production.
@@ -60,6 +61,7 @@
             contact_timeout: bounds.contact_timeout,
             budget_window: BUDGET_WINDOW,
             seed: splitmix64(self.settings.seed ^ incarnation.rotate_left(32)) | 1,
+            digest_key: DigestKey::new([index as u8; DigestKey::BYTES]),
         };
         let bug = match self.settings.seeded_bug {
             Some(SeededBug::Controller(bug)) => Some(bug),
