Log the source that confirms a gateway's configuration

A line at level INFO now names the source whose heartbeats with a lease confirm the configuration, when that is another one than before or after a gap, with the announced revision and the length of the gap. Counters `config_revision`, `announced_revision` and `update_streams_started` tell a gateway that holds too little from one whose source announces too little, and show the rate of attempts.

--- a/crates/fernknot-gateway/src/counters.rs
+++ b/crates/fernknot-gateway/src/counters.rs
@@ -47,6 +47,12 @@
     pub(crate) services: usize,
     /// Number that the operator gave to the configuration in force (`epoch`); 0 before the first configuration.
     pub(crate) config_epoch: u64,
+    /// Sequence number of the configuration in force among all that ever were; 0 before the first configuration.
+    pub(crate) config_revision: u64,
+    /// Newest sequence number of a configuration that any source has announced.
+    pub(crate) announced_revision: u64,
+    /// Number of update streams that were started.
+    pub(crate) update_streams_started: u64,
     /// Whether the last heartbeat with a lease from a source of the configuration is older than `drain_cutoff_ms`, or
     /// there was none.
     pub(crate) is_config_stale: bool,
@@ -73,6 +79,9 @@
         ("nodes", current_values.nodes as u64),
         ("services", current_values.services as u64),
         ("config_epoch", current_values.config_epoch),
+        ("config_revision", current_values.config_revision),
+        ("announced_revision", current_values.announced_revision),
+        ("update_streams_started", current_values.update_streams_started),
         ("config_stale", u64::from(current_values.is_config_stale)),
     ];
     lines.iter().map(|(name, value)| format!("{name} {value}\n")).collect()
--- a/crates/fernknot-gateway/src/gateway.rs
+++ b/crates/fernknot-gateway/src/gateway.rs
@@ -256,6 +256,9 @@
             nodes: nodes.engine_node_count(),
             services: routing.service_count(),
             config_epoch: routing.config().map_or(0, |snapshot| snapshot.config.epoch),
+            config_revision: routing.config().map_or(0, |snapshot| snapshot.revision),
+            announced_revision: self.update_relay.announced_revision(),
+            update_streams_started: self.update_relay.streams_started(),
             is_config_stale: config_age.is_none_or(|age| age > self.settings.drain_cutoff),
         };
         counters_text(counters, attempts.counters(), &current_values) + &attempts.decisions().counters_text()
--- a/crates/fernknot-gateway/src/updates/mod.rs
+++ b/crates/fernknot-gateway/src/updates/mod.rs
@@ -1,6 +1,7 @@
 //! Updates of configuration, nodes and ownership: received from a controller or from the relay of the zone, and
 //! forwarded to the gateways that subscribe to this one.
 
+mod config_source;
 mod controllers;
 mod ownership;
 mod relay;
--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -1,8 +1,9 @@
 //! Routing of updates from the sources that `fernknot-distribution` selects to this gateway and to its subscribers.
 
+use super::config_source::ConfigSourceLog;
 use super::controllers::KnownControllers;
 use super::ownership::Ownership;
-use super::sources::{Source, SourceStream, SourceStreams};
+use super::sources::{Source, SourceStream, SourceStreams, subscription_to};
 use super::state::{LocalState, Update};
 use super::subscribers::{Subscribers, select, send};
 use fernknot::interface::Nanos;
@@ -43,6 +44,7 @@
     services: BTreeSet<String>,
     /// Identifier of the controller whose heartbeat was the last to arrive with a lease; 0 before the first one.
     last_heartbeat_from: u64,
+    config_source_log: ConfigSourceLog,
 }
 
 /// A gateway that subscribes to this one.
@@ -75,6 +77,7 @@
             controllers: KnownControllers::default(),
             services: BTreeSet::new(),
             last_heartbeat_from: 0,
+            config_source_log: ConfigSourceLog::default(),
         };
         relay.add_controllers(seeds);
         relay
@@ -98,6 +101,16 @@
         self.relays.time_since_lease(now, &Topic::Configuration)
     }
 
+    /// Newest revision of the configuration that any source has announced; 0 for none.
+    pub(crate) fn announced_revision(&self) -> u64 {
+        self.relays.newest_seen().revision
+    }
+
+    /// Number of update streams that were started.
+    pub(crate) fn streams_started(&self) -> u64 {
+        self.sources.started()
+    }
+
     /// Restarts the time-outs of sources after a stall of the event loop: messages that were not received during the
     /// stall prove no fault of the sources.
     pub(crate) fn resume_after_stall(&mut self, now: Nanos) {
@@ -174,7 +187,7 @@
         topics: &[Topic],
     ) {
         let carries_config = topics.contains(&Topic::Configuration);
-        let subscription = self.subscription(topics);
+        let subscription = subscription_to(topics, self.services.len());
         let known = self.sources.connection_of(source);
         if let Some(stream) = known.and_then(|id| self.sources.get_mut(id))
             && stream.subscription == subscription
@@ -205,18 +218,6 @@
         }
     }
 
-    fn subscription(&self, topics: &[Topic]) -> Subscription {
-        let service = |topic: &Topic| match topic {
-            Topic::Configuration => None,
-            Topic::Service(name) => Some(name.to_string()),
-        };
-        let names: Vec<String> = topics.iter().filter_map(service).collect();
-        match names.len() >= self.services.len() {
-            true => Subscription::All,
-            false => Subscription::Services(names),
-        }
-    }
-
     /// Sends each source a heartbeat, and reports the live subscribers to the source of the configuration only. Relays
     /// of different topics may subscribe to each other in cycles: if reports were sent to all sources, those of
     /// gateways that are gone would circulate for ever and accumulate. The streams of the configuration form a tree.
@@ -309,6 +310,10 @@
                     has_lease: holds_lease,
                     hops,
                 };
+                if holds_lease && stream.carries_config {
+                    let timeout = self.heartbeat_interval;
+                    self.config_source_log.record_lease(now, source, revision, timeout);
+                }
                 self.handle_heartbeat(now, source, heartbeat, sender, controllers);
                 if holds_lease {
                     updates.push(Update::SourceHealthy);
--- a/crates/fernknot-gateway/src/updates/sources.rs
+++ b/crates/fernknot-gateway/src/updates/sources.rs
@@ -1,6 +1,6 @@
 //! Update streams that this gateway has subscribed to.
 
-use fernknot_distribution::SourceKind;
+use fernknot_distribution::{SourceKind, Topic};
 use fernknot_net::{ConnectionId, Network};
 use fernknot_rpc::Subscription;
 use std::collections::BTreeMap;
@@ -29,12 +29,19 @@
 pub(super) struct SourceStreams {
     streams: BTreeMap<ConnectionId, SourceStream>,
     by_source: BTreeMap<Source, ConnectionId>,
+    started: u64,
 }
 
 impl SourceStreams {
     pub(super) fn insert(&mut self, id: ConnectionId, stream: SourceStream) {
         self.by_source.insert(stream.source, id);
-        self.streams.insert(id, stream);
+        let replaced = self.streams.insert(id, stream);
+        self.started += u64::from(replaced.is_none());
+    }
+
+    /// Number of streams that were started.
+    pub(super) fn started(&self) -> u64 {
+        self.started
     }
 
     pub(super) fn contains(&self, id: ConnectionId) -> bool {
@@ -81,3 +88,16 @@
         self.streams.values().map(line).collect()
     }
 }
+
+/// Returns the subscription to these topics of a gateway whose configuration names `service_count` services.
+pub(super) fn subscription_to(topics: &[Topic], service_count: usize) -> Subscription {
+    let service = |topic: &Topic| match topic {
+        Topic::Configuration => None,
+        Topic::Service(name) => Some(name.to_string()),
+    };
+    let names: Vec<String> = topics.iter().filter_map(service).collect();
+    match names.len() >= service_count {
+        true => Subscription::All,
+        false => Subscription::Services(names),
+    }
+}
