--- a/crates/fernknot-gateway/tests/scenarios/mod.rs
+++ b/crates/fernknot-gateway/tests/scenarios/mod.rs
@@ -15,6 +15,7 @@
 mod idle_connections;
 mod partial_bodies;
 mod resets;
+mod unconfirmed_config;
 
 const NODE: &str = "10.128.0.1:8080";
 /// Maximum time between two steps.
@@ -31,6 +32,8 @@
     node_connections: Vec<ConnectionId>,
     closed: Vec<ConnectionId>,
     revision: u64,
+    /// Whether the controller's heartbeats have a lease.
+    has_lease: bool,
 }
 
 /// Returns a configuration with one service of one node, whose route `/m/` allows one attempt per request.
@@ -74,6 +77,7 @@
             node_connections,
             closed,
             revision: 0,
+            has_lease: true,
         };
         scenario.step(Vec::new());
         scenario.send_update(&ControllerToGateway::Assignment(Assignment::default()));
@@ -84,7 +88,7 @@
         scenario
     }
 
-    /// Sends a heartbeat of the controller, which holds the lease.
+    /// Sends a heartbeat of the controller.
     pub fn send_heartbeat(&mut self) {
         let addr = CONTROLLER.parse().unwrap();
         let controllers = vec![ControllerEndpoint { addr, zone: "north".into() }];
@@ -92,7 +96,7 @@
         self.send_update(&ControllerToGateway::Heartbeat {
             sender: 1,
             revision,
-            holds_lease: true,
+            holds_lease: self.has_lease,
             hops: 0,
             fencing_token: 0,
             controllers,
@@ -164,6 +168,12 @@
         }
     }
 
+    /// Advances the time without a step in between, as if the gateway's event loop stalled.
+    pub fn stall(&mut self, span: Nanos) {
+        self.now = self.now + span;
+        self.step(Vec::new());
+    }
+
     /// Connects a client.
     pub fn connect_client(&mut self) -> ConnectionId {
         let id = self.network.new_id();
--- a/crates/fernknot-gateway/tests/simulation/mod.rs
+++ b/crates/fernknot-gateway/tests/simulation/mod.rs
@@ -11,6 +11,7 @@
 
 use checker::{Checker, Coverage};
 use clients::Client;
+pub use controller::APPLY_MS;
 use controller::Controller;
 use fernknot::interface::Nanos;
 use fernknot_gateway::{Gateway, ListenerIds, SeededBug};
