Answer 404 only while the configuration is confirmed as current

Cause of this part: a gateway answered 404 from whatever configuration it held, also when its sources had sent no lease for seconds, when they had announced a newer revision, or when it had just resumed after a stall. A 404 is a claim about the newest configuration.

`Relays` now derives from each heartbeat with a lease until when the announced revision includes everything acknowledged more than `apply_ms` ago: `apply_ms`, less the duration of a lease, less the delays of forwarding gateways and of an unnoticed pause. The first heartbeat after a stall or a gap, and those close to it, confirm nothing, as they may have waited in a buffer. `Routing::confirmed` turns any rejection that is such a claim into 503 with `Retry-After` and the counter `unconfirmed_config` unless the revision held is covered; 401 can use it. Known routes are served as before. The duration of a lease is now defined once, for controllers and gateways, with the same value (a fifth of `contact_ms`).

--- a/crates/fernknot-controller/src/settings.rs
+++ b/crates/fernknot-controller/src/settings.rs
@@ -10,9 +10,6 @@
 const SUSPICION_SHARE: f64 = 0.25;
 /// Interval between heartbeats of consensus members, as a share of the suspicion timeout.
 const MEMBER_HEARTBEAT_SHARE: f64 = 0.2;
-/// Duration of a controller's lease: time for which the answers of a majority to its heartbeats count, as a share of
-/// the suspicion timeout.
-const LEASE_SHARE: f64 = 0.8;
 /// Interval between heartbeats to subscribers, as a share of the apply deadline.
 const SUBSCRIBER_HEARTBEAT_SHARE: f64 = 1.0 / 12.0;
 
@@ -78,7 +75,7 @@
             fault_tolerance: self.tolerated_losses,
             suspicion_timeout,
             heartbeat_interval: suspicion_timeout.times(MEMBER_HEARTBEAT_SHARE),
-            lease_duration: suspicion_timeout.times(LEASE_SHARE),
+            lease_duration: fernknot_ownership::lease_duration(self.contact_timeout),
         }
     }
 }
--- a/crates/fernknot-distribution/src/relays.rs
+++ b/crates/fernknot-distribution/src/relays.rs
@@ -50,6 +50,7 @@
     subscriptions: Subscriptions,
     subscribers: Subscribers,
     newest_seen: SourceHeartbeat,
+    configuration_confirmed_until: Nanos,
     actions: VecDeque<Action>,
     needs_update: bool,
     next_update_at: Nanos,
@@ -59,15 +60,16 @@
     /// Creates the state of a gateway with [`Topic::Configuration`] as its only topic, and without sources.
     ///
     /// `apply_deadline` is the time within which an acknowledged update has to be in force (`apply_ms` of the
-    /// settings); `seed` makes this process's random choices repeatable.
+    /// settings), `lease_duration` the time for which controllers hold a lease; `seed` makes this process's random choices repeatable.
     pub fn new(
         incarnation: IncarnationId,
         zone: &str,
         apply_deadline: Nanos,
+        lease_duration: Nanos,
         limits: RelaysLimits,
         seed: u64,
     ) -> Relays {
-        let timing = Timing::new(apply_deadline);
+        let timing = Timing::new(apply_deadline, lease_duration);
         Relays {
             limits,
             timing,
@@ -78,6 +80,7 @@
             subscriptions: Subscriptions::new(),
             subscribers: Subscribers::new(limits.max_subscribers),
             newest_seen: SourceHeartbeat::default(),
+            configuration_confirmed_until: Nanos(0),
             actions: VecDeque::new(),
             needs_update: true,
             next_update_at: Nanos(0),
@@ -91,7 +94,7 @@
 
     /// Time between two heartbeats of a source, for the `apply_deadline` of [`Self::new`].
     pub fn heartbeat_interval(apply_deadline: Nanos) -> Nanos {
-        Timing::new(apply_deadline).heartbeat_interval
+        Timing::new(apply_deadline, Nanos(0)).heartbeat_interval
     }
 
     /// Sets the services of the configuration in force.
@@ -130,6 +133,13 @@
         let heartbeat = heartbeat.without_lease_if_looping();
         let was_fresh = subscription.is_fresh(now, stale_after);
         subscription.record_heartbeat(now, &heartbeat, stale_after);
+        if heartbeat.has_lease
+            && subscription.topics.contains(&Topic::Configuration)
+            && subscription.is_last_lease_recent(self.timing.min_lease_spacing)
+        {
+            let until = now + self.timing.confirmation_validity(heartbeat.hops);
+            self.configuration_confirmed_until = self.configuration_confirmed_until.max(until);
+        }
         let freshness_differs = was_fresh != subscription.is_fresh(now, stale_after);
         let is_unleased_controller = kind == SourceKind::Controller && !heartbeat.has_lease;
         self.needs_update |= freshness_differs || is_unleased_controller;
@@ -184,6 +194,12 @@
         self.newest_seen
     }
 
+    /// Time until which the revision in [`Self::newest_seen`] includes every change of the configuration that was
+    /// acknowledged earlier than the deadline. Only such a configuration proves that a route does not exist.
+    pub fn configuration_confirmed_until(&self) -> Nanos {
+        self.configuration_confirmed_until
+    }
+
     /// Time since a source of the topic last sent a heartbeat with a lease; `None` if no current source ever did.
     pub fn time_since_lease(&self, now: Nanos, topic: &Topic) -> Option<Nanos> {
         let leased = self.subscriptions.values().filter(|subscription| {
--- a/crates/fernknot-distribution/src/subscribers.rs
+++ b/crates/fernknot-distribution/src/subscribers.rs
@@ -11,7 +11,7 @@
 /// Number of heartbeat intervals after its last heartbeat with a lease for which a source counts as fresh when
 /// heartbeats are forwarded. It is less than the 2.5 intervals of `Timing::stale_after`, because a
 /// forwarded heartbeat is already old when it arrives.
-const FRESH_INTERVALS: f64 = 1.5;
+pub(crate) const FRESH_INTERVALS: f64 = 1.5;
 /// Minimum time between two heartbeats with a lease to one subscriber, in heartbeat intervals.
 const MIN_LEASED_INTERVALS: f64 = 0.5;
 /// Minimum time between the last heartbeat to a subscriber and one without a lease, in heartbeat intervals.
--- a/crates/fernknot-distribution/src/timing.rs
+++ b/crates/fernknot-distribution/src/timing.rs
@@ -1,5 +1,6 @@
 //! Intervals and time-outs, as shares of the deadline: the time within which an update has to be in force.
 
+use crate::subscribers::FRESH_INTERVALS;
 use fernknot::interface::Nanos;
 
 /// Time between two heartbeats of a source, as a share of the deadline.
@@ -13,6 +14,8 @@
 /// Time for which an earlier relay continues after a new assignment, as a share of the deadline; for gateways that
 /// receive the assignment later.
 const HANDOVER_TIMEOUT_SHARE: f64 = 1.0 / 3.0;
+/// Minimum time from the first heartbeat of a series to one that is known to be recent, in heartbeat intervals.
+const MIN_SPACING_INTERVALS: f64 = 0.5;
 /// Mean time between attempts to find a controller with a lease, as a share of the deadline.
 const ATTEMPT_INTERVAL_SHARE: f64 = 1.0 / 5.0;
 
@@ -26,6 +29,10 @@
     /// Time-out after the last heartbeat with a lease for a relay that still sends heartbeats without one, and after
     /// the last message for a controller.
     pub source_timeout: Nanos,
+    /// Minimum time from the first heartbeat with a lease of a series to one that is known to be recent.
+    pub min_lease_spacing: Nanos,
+    /// Time for which a heartbeat with a lease that has just arrived from a controller confirms the configuration.
+    lease_validity: Nanos,
     /// Mean time between attempts to find a controller with a lease.
     pub attempt_interval: Nanos,
     /// Time for which a source remains in use after an assignment names another one.
@@ -33,14 +40,29 @@
 }
 
 impl Timing {
-    /// Derives the timing from `apply_deadline`, the time within which an update has to be in force.
-    pub fn new(apply_deadline: Nanos) -> Timing {
+    /// Derives the timing from `apply_deadline`, the time within which an update has to be in force, and
+    /// `lease_duration`, the time for which controllers hold a lease.
+    pub fn new(apply_deadline: Nanos, lease_duration: Nanos) -> Timing {
+        let heartbeat_interval = apply_deadline.times(HEARTBEAT_INTERVAL_SHARE);
+        let stale_after = apply_deadline.times(STALE_AFTER_SHARE);
         Timing {
-            heartbeat_interval: apply_deadline.times(HEARTBEAT_INTERVAL_SHARE),
-            stale_after: apply_deadline.times(STALE_AFTER_SHARE),
+            heartbeat_interval,
+            stale_after,
+            min_lease_spacing: heartbeat_interval.times(MIN_SPACING_INTERVALS),
+            // A process on the way may pause for as long without being noticed.
+            lease_validity: apply_deadline - lease_duration - stale_after,
             source_timeout: apply_deadline.times(SOURCE_TIMEOUT_SHARE),
             attempt_interval: apply_deadline.times(ATTEMPT_INTERVAL_SHARE),
             handover_timeout: apply_deadline.times(HANDOVER_TIMEOUT_SHARE),
         }
     }
+
+    /// Time for which a heartbeat with a lease that has just arrived over this many forwarding gateways confirms the
+    /// configuration: so long that everything acknowledged earlier than the deadline is surely included. At least
+    /// [`Timing::stale_after`], so that a source which sends heartbeats in time confirms it without a break; where that
+    /// is longer than the deadline allows, the controllers have been without contact for less than the lease lasts.
+    pub fn confirmation_validity(&self, hops: u8) -> Nanos {
+        let forwarding = self.heartbeat_interval.times(FRESH_INTERVALS * f64::from(hops));
+        (self.lease_validity - forwarding).max(self.stale_after)
+    }
 }
--- a/crates/fernknot-distribution/tests/common/mod.rs
+++ b/crates/fernknot-distribution/tests/common/mod.rs
@@ -10,6 +10,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 pub const APPLY_DEADLINE: Nanos = Nanos(3_000_000_000);
+/// Duration of the controllers' leases.
+pub const LEASE_DURATION: Nanos = Nanos(800_000_000);
 pub const ZONES: [&str; 3] = ["north", "south", "east"];
 const STEP_MS: u64 = 10;
 
@@ -105,6 +107,7 @@
             IncarnationId(incarnation),
             zone(incarnation),
             APPLY_DEADLINE,
+            LEASE_DURATION,
             RelaysLimits::default(),
             incarnation,
         );
--- a/crates/fernknot-distribution/tests/lease_recovery.rs
+++ b/crates/fernknot-distribution/tests/lease_recovery.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{APPLY_DEADLINE, controller_addr, millis};
+use common::{APPLY_DEADLINE, LEASE_DURATION, controller_addr, millis};
 use fernknot_distribution::{
     Action, ControllerEndpoint, Relays, RelaysLimits, SourceHeartbeat, SourceKind, Topic,
 };
@@ -41,8 +41,14 @@
 
 impl Harness {
     fn new(controllers: usize, seed: u64) -> Harness {
-        let mut relays =
-            Relays::new(IncarnationId(seed + 1), "north", APPLY_DEADLINE, RelaysLimits::default(), seed);
+        let mut relays = Relays::new(
+            IncarnationId(seed + 1),
+            "north",
+            APPLY_DEADLINE,
+            LEASE_DURATION,
+            RelaysLimits::default(),
+            seed,
+        );
         let zones = ["north", "south", "east"];
         let endpoint = |number: usize| ControllerEndpoint {
             addr: controller_addr(number as u8),
--- a/crates/fernknot-distribution/tests/source_selection.rs
+++ b/crates/fernknot-distribution/tests/source_selection.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::{
-    APPLY_DEADLINE, Cluster, ZONES, assignment, controller_addr, gateway_addr, millis, topics, zone,
+    APPLY_DEADLINE, Cluster, LEASE_DURATION, ZONES, assignment, controller_addr, gateway_addr, millis,
+    topics, zone,
 };
 use fernknot_distribution::{Action, Relays, RelaysLimits, SourceHeartbeat, SourceKind, Topic};
 use fernknot_ownership::IncarnationId;
@@ -87,7 +88,14 @@
 #[test]
 fn given_two_gateways_that_forward_to_each_other_when_a_heartbeat_loops_then_it_soon_loses_its_lease() {
     let mut pair = [0, 3].map(|incarnation| {
-        Relays::new(IncarnationId(incarnation), zone(incarnation), APPLY_DEADLINE, RelaysLimits::default(), 1)
+        Relays::new(
+            IncarnationId(incarnation),
+            zone(incarnation),
+            APPLY_DEADLINE,
+            LEASE_DURATION,
+            RelaysLimits::default(),
+            1,
+        )
     });
     let addrs = [0, 3].map(gateway_addr);
     for (index, other) in [(0, 3), (1, 0)] {
--- a/crates/fernknot-gateway/src/clients/rejection.rs
+++ b/crates/fernknot-gateway/src/clients/rejection.rs
@@ -22,6 +22,8 @@
 pub(crate) enum Rejection {
     /// No configuration is in force yet.
     NoConfig,
+    /// The configuration in force does not allow the request, but may not be the newest one.
+    UnconfirmedConfig,
     /// No route matches the request.
     NoRoute,
     /// `Attempt-Id` is missing or empty, is longer than 256 bytes, or contains other characters than printable ASCII
@@ -38,7 +40,9 @@
 impl Rejection {
     pub(crate) fn reply(&self) -> LocalReply<'static> {
         let retry_after = match self {
-            Rejection::NoConfig | Rejection::TooManyPartialBodies => Some(DEFAULT_RETRY_AFTER),
+            Rejection::NoConfig | Rejection::UnconfirmedConfig | Rejection::TooManyPartialBodies => {
+                Some(DEFAULT_RETRY_AFTER)
+            }
             _ => None,
         };
         LocalReply { status: self.status(), retry_after, body: self.body() }
@@ -51,7 +55,7 @@
 
     fn status(&self) -> u16 {
         match self {
-            Rejection::NoConfig | Rejection::TooManyPartialBodies => 503,
+            Rejection::NoConfig | Rejection::UnconfirmedConfig | Rejection::TooManyPartialBodies => 503,
             Rejection::NoRoute => 404,
             Rejection::InvalidAttemptId => 400,
             Rejection::Malformed(error) => error.status,
@@ -62,6 +66,7 @@
     fn body(&self) -> &'static [u8] {
         match self {
             Rejection::NoConfig => b"no configuration yet\n",
+            Rejection::UnconfirmedConfig => b"the configuration may be outdated\n",
             Rejection::NoRoute => b"no route\n",
             Rejection::InvalidAttemptId => b"Attempt-Id is missing or unfit\n",
             Rejection::Malformed(error) => error.reason.as_bytes(),
--- a/crates/fernknot-gateway/src/counters.rs
+++ b/crates/fernknot-gateway/src/counters.rs
@@ -9,6 +9,7 @@
     pub(crate) requests: u64,
     unrouted: u64,
     without_config: u64,
+    unconfirmed_config: u64,
     malformed: u64,
     overloaded: u64,
 }
@@ -17,6 +18,7 @@
     pub(crate) fn count(&mut self, rejection: Rejection) {
         let counter = match rejection {
             Rejection::NoConfig => &mut self.without_config,
+            Rejection::UnconfirmedConfig => &mut self.unconfirmed_config,
             Rejection::NoRoute => &mut self.unrouted,
             Rejection::InvalidAttemptId | Rejection::Malformed(_) => &mut self.malformed,
             Rejection::TooManyPartialBodies => &mut self.overloaded,
@@ -68,6 +70,7 @@
         ("requests", clients.requests),
         ("unrouted", clients.unrouted),
         ("without_config", clients.without_config),
+        ("unconfirmed_config", clients.unconfirmed_config),
         ("malformed", clients.malformed),
         ("overloaded", clients.overloaded),
         ("mismatched_responses", nodes.mismatched_responses),
--- a/crates/fernknot-gateway/src/data_plane.rs
+++ b/crates/fernknot-gateway/src/data_plane.rs
@@ -99,7 +99,7 @@
 
     fn start_request<N: Network>(&mut self, now: Nanos, id: ConnectionId, request: Request, network: &mut N) {
         self.counters.requests += 1;
-        match self.routing.route(request) {
+        match self.routing.route(now, request) {
             Err(rejection) => self.reject(now, id, rejection, network),
             Ok(routed) => {
                 if let Some(request) = self.attempts.start(now, id, routed) {
--- a/crates/fernknot-gateway/src/gateway.rs
+++ b/crates/fernknot-gateway/src/gateway.rs
@@ -66,7 +66,7 @@
         Ok(Gateway {
             listeners,
             data_plane: DataPlane::new(&process, settings.clone(), seed)?,
-            update_relay: UpdateRelay::new(record, &seeds, ownership, seed),
+            update_relay: UpdateRelay::new(record, &seeds, ownership, settings.lease_duration, seed),
             is_synchronized: false,
             discovery: Discovery::new(descriptor, &seeds, &settings, seed),
             shutdown: Shutdown::new(Nanos::from_millis(process.bounds.grace_s * 1e3)),
@@ -257,7 +257,7 @@
             services: routing.service_count(),
             config_epoch: routing.config().map_or(0, |snapshot| snapshot.config.epoch),
             config_revision: routing.config().map_or(0, |snapshot| snapshot.revision),
-            announced_revision: self.update_relay.announced_revision(),
+            announced_revision: self.update_relay.confirmation().announced_revision,
             update_streams_started: self.update_relay.streams_started(),
             is_config_stale: config_age.is_none_or(|age| age > self.settings.drain_cutoff),
         };
@@ -276,6 +276,7 @@
         let mut updates = Vec::new();
         let token = self.update_relay.fencing_token();
         self.update_relay.read(now, id, network, &state, &mut updates);
+        self.data_plane.routing.set_confirmation(self.update_relay.confirmation());
         if self.update_relay.fencing_token() > token {
             self.update_relay.forward_assignment(network);
         }
--- a/crates/fernknot-gateway/src/routing.rs
+++ b/crates/fernknot-gateway/src/routing.rs
@@ -7,6 +7,7 @@
 use crate::headers;
 use crate::requests::PendingRequest;
 use crate::settings::GatewaySettings;
+use crate::updates::Confirmation;
 use fernknot::interface::*;
 use fernknot::state::Mwc;
 use fernknot_protocol::http::Request;
@@ -45,6 +46,7 @@
 /// depend on it.
 pub(crate) struct Routing {
     config: Option<Rc<ConfigSnapshot>>,
+    confirmation: Confirmation,
     ids: EngineIds,
     http_limits: Limits,
     rng: Mwc,
@@ -64,6 +66,7 @@
         let http_limits = Limits::new(max_connections, memory_mb, &unused_socket_settings(settings))?;
         Ok(Routing {
             config: None,
+            confirmation: Confirmation::default(),
             ids: EngineIds::default(),
             http_limits,
             rng: Mwc::new(rng_seed),
@@ -125,11 +128,18 @@
         Some((snapshot, UseCaseChange { use_cases, released }))
     }
 
+    /// Sets what the sources have confirmed about the configuration.
+    pub(crate) fn set_confirmation(&mut self, confirmation: Confirmation) {
+        self.confirmation = confirmation;
+    }
+
     /// Finds the route and the services of a request.
-    pub(crate) fn route(&mut self, request: Request) -> Result<RoutedRequest, Rejection> {
+    pub(crate) fn route(&mut self, now: Nanos, request: Request) -> Result<RoutedRequest, Rejection> {
         let config = self.config.clone().ok_or(Rejection::NoConfig)?;
         let host = request.header("host").unwrap_or_default();
-        let index = config.find(host, request.path()).ok_or(Rejection::NoRoute)?;
+        let index = config
+            .find(host, request.path())
+            .ok_or_else(|| self.confirmed(now, config.revision, Rejection::NoRoute))?;
         let attempt_id = request.header(headers::ATTEMPT_ID);
         let attempt_id = attempt_id.filter(|id| headers::is_valid_attempt_id(id));
         let attempt_id = attempt_id.ok_or(Rejection::InvalidAttemptId)?.to_string();
@@ -148,6 +158,12 @@
         })
     }
 
+    /// Returns the rejection of a request that a configuration of this revision does not allow. Unless the configuration
+    /// is confirmed, a newer one may allow the request, and it is only rejected for now.
+    fn confirmed(&self, now: Nanos, revision: u64, rejection: Rejection) -> Rejection {
+        if self.confirmation.covers(now, revision) { rejection } else { Rejection::UnconfirmedConfig }
+    }
+
     /// Returns one part for each service that has to answer, all of the same weight.
     fn parts(&mut self, target: &RouteTarget) -> Vec<RequestedPart> {
         let services: Vec<&str> = match target {
--- a/crates/fernknot-gateway/src/settings.rs
+++ b/crates/fernknot-gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings that a gateway derives from those of its process.
 
 use fernknot::interface::{Nanos, ZoneId};
+use fernknot_ownership::lease_duration;
 use fernknot_schema::ProcessSettings;
 use std::net::SocketAddrV4;
 
@@ -36,6 +37,8 @@
     pub(crate) apply_timeout: Nanos,
     /// Time for which a machine has to run and be connected before it counts as in contact (`contact_ms`).
     pub(crate) contact_timeout: Nanos,
+    /// Time for which controllers hold a lease.
+    pub(crate) lease_duration: Nanos,
     /// Time for which requests may still go to a node after its draining was acknowledged (`drain_cutoff_ms`).
     pub(crate) drain_cutoff: Nanos,
     /// Time after which a connection to a node that is not open yet is closed.
@@ -58,6 +61,7 @@
         GatewaySettings {
             apply_timeout: Nanos::from_millis(bounds.apply_ms),
             contact_timeout: Nanos::from_millis(bounds.contact_ms),
+            lease_duration: lease_duration(Nanos::from_millis(bounds.contact_ms)),
             drain_cutoff,
             connect_timeout: drain_cutoff.times(CONNECT_TIMEOUT_SHARE),
             retry_window: Nanos::from_millis(bounds.retry_window_s * 1e3),
--- a/crates/fernknot-gateway/src/updates/mod.rs
+++ b/crates/fernknot-gateway/src/updates/mod.rs
@@ -2,6 +2,7 @@
 //! forwarded to the gateways that subscribe to this one.
 
 mod config_source;
+mod confirmation;
 mod controllers;
 mod ownership;
 mod relay;
@@ -9,5 +10,6 @@
 mod state;
 mod subscribers;
 
+pub(crate) use confirmation::Confirmation;
 pub(crate) use relay::UpdateRelay;
 pub(crate) use state::{LocalState, Update};
--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -1,9 +1,10 @@
 //! Routing of updates from the sources that `fernknot-distribution` selects to this gateway and to its subscribers.
 
 use super::config_source::ConfigSourceLog;
+use super::confirmation::Confirmation;
 use super::controllers::KnownControllers;
 use super::ownership::Ownership;
-use super::sources::{Source, SourceStream, SourceStreams, subscription_to};
+use super::sources::{Source, SourceStream, SourceStreams, subscription_to, topics_of};
 use super::state::{LocalState, Update};
 use super::subscribers::{Subscribers, select, send};
 use fernknot::interface::Nanos;
@@ -57,17 +58,26 @@
 
 impl UpdateRelay {
     /// Creates a relay without streams. `settings.handover_timeout` is the time within which an update has to be in
-    /// force everywhere (`apply_ms`); all intervals and time-outs of the relay are shares of it.
+    /// force everywhere (`apply_ms`); all intervals and time-outs of the relay are shares of it. `lease_duration` is that
+    /// of the controllers.
     pub(crate) fn new(
         this_gateway: GatewayRecord,
         seeds: &[SocketAddrV4],
         settings: OwnedKeysSettings,
+        lease_duration: Nanos,
         rng_seed: u64,
     ) -> UpdateRelay {
         let (incarnation, zone, apply_timeout) =
             (this_gateway.incarnation, &this_gateway.zone, settings.handover_timeout);
         let mut relay = UpdateRelay {
-            relays: Relays::new(incarnation, zone, apply_timeout, RelaysLimits::default(), rng_seed),
+            relays: Relays::new(
+                incarnation,
+                zone,
+                apply_timeout,
+                lease_duration,
+                RelaysLimits::default(),
+                rng_seed,
+            ),
             ownership: Ownership::new(&this_gateway, settings),
             this_gateway,
             sources: SourceStreams::default(),
@@ -101,9 +111,12 @@
         self.relays.time_since_lease(now, &Topic::Configuration)
     }
 
-    /// Newest revision of the configuration that any source has announced; 0 for none.
-    pub(crate) fn announced_revision(&self) -> u64 {
-        self.relays.newest_seen().revision
+    /// What the sources have confirmed about the configuration.
+    pub(crate) fn confirmation(&self) -> Confirmation {
+        Confirmation {
+            announced_revision: self.relays.newest_seen().revision,
+            until: self.relays.configuration_confirmed_until(),
+        }
     }
 
     /// Number of update streams that were started.
@@ -408,7 +421,7 @@
     ) {
         let NewSubscriber { gateway, subscription, revision } = subscriber;
         self.subscribers.identify(id);
-        if !self.relays.subscribe(gateway.addr, self.topics(&subscription)) {
+        if !self.relays.subscribe(gateway.addr, topics_of(&subscription, &self.services)) {
             network.close(id);
             return self.connection_closed(now, id);
         }
@@ -428,15 +441,6 @@
         }
     }
 
-    fn topics(&self, subscription: &Subscription) -> Vec<Topic> {
-        let mut topics: Vec<Topic> = match subscription {
-            Subscription::All => self.services.iter().map(|name| Topic::service(name)).collect(),
-            Subscription::Services(names) => names.iter().map(|name| Topic::service(name)).collect(),
-        };
-        topics.push(Topic::Configuration);
-        topics
-    }
-
     // ---- Forwarding ------------------------------------------------------------------------
 
     fn heartbeat_message(&self, heartbeat: SourceHeartbeat) -> ControllerToGateway {
--- a/crates/fernknot-gateway/src/updates/sources.rs
+++ b/crates/fernknot-gateway/src/updates/sources.rs
@@ -3,7 +3,7 @@
 use fernknot_distribution::{SourceKind, Topic};
 use fernknot_net::{ConnectionId, Network};
 use fernknot_rpc::Subscription;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
 /// A process that this gateway receives updates from.
@@ -101,3 +101,13 @@
         false => Subscription::Services(names),
     }
 }
+
+/// Returns the topics of a subscription; `services` are those in the configuration in force.
+pub(super) fn topics_of(subscription: &Subscription, services: &BTreeSet<String>) -> Vec<Topic> {
+    let mut topics: Vec<Topic> = match subscription {
+        Subscription::All => services.iter().map(|name| Topic::service(name)).collect(),
+        Subscription::Services(names) => names.iter().map(|name| Topic::service(name)).collect(),
+    };
+    topics.push(Topic::Configuration);
+    topics
+}
--- a/crates/fernknot-gateway/tests/scenarios/unconfirmed_config.rs
+++ b/crates/fernknot-gateway/tests/scenarios/unconfirmed_config.rs
@@ -5,8 +5,9 @@
 use fernknot::interface::Nanos;
 use fernknot_schema::ClientLimits;
 
-/// Time without a heartbeat after which a configuration acknowledged `apply_ms` ago may be missing.
-const UNCONFIRMED_AFTER: Nanos = Nanos((APPLY_MS * 0.6 * 1e6) as u64);
+/// Time without a heartbeat after which a configuration acknowledged `apply_ms` ago may be missing: the lease of the last
+/// one was confirmed up to a fifth of `contact_ms` (400) before it was sent.
+const UNCONFIRMED_AFTER: Nanos = Nanos(((APPLY_MS - 80.0) * 1e6) as u64);
 
 fn without_route(id: &str) -> String {
     format!("GET /none/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\n\r\n")
--- a/crates/fernknot-ownership/src/lib.rs
+++ b/crates/fernknot-ownership/src/lib.rs
@@ -19,6 +19,7 @@
 mod hashing;
 mod identifiers;
 mod key_handover;
+mod lease;
 mod owned_keys;
 
 pub use assigner::{Assigner, AssignerSettings, confirmation_timeout, presumed_alive_timeout};
@@ -26,4 +27,5 @@
 pub use hashing::{key_hash, splitmix64};
 pub use identifiers::{FencingToken, IncarnationId};
 pub use key_handover::{Action, OwnershipState};
+pub use lease::lease_duration;
 pub use owned_keys::{ApplyOutcome, OwnedKeys, OwnedKeysSettings};
