Forward a lease only of sources that sent one since the last stall

A relay that receives topics from several sources restarts their time-outs after a stall of its own, as if each had just sent a heartbeat with a lease. The next heartbeat of one source was then forwarded with a lease for the topics of all: its subscribers took a configuration that was older than the stall as confirmed.

Forwarding now asks when a heartbeat with a lease last arrived, which a restart of the time-outs does not change to now. The test `forwarded_leases` fails without the change and passes with it; tests of fernknot-distribution pass.

--- a/crates/fernknot-distribution/src/subscribers.rs
+++ b/crates/fernknot-distribution/src/subscribers.rs
@@ -144,7 +144,7 @@
 ) -> FreshTopics<'a> {
     let mut fresh = FreshTopics::default();
     for (source, subscription) in subscriptions {
-        if !subscription.is_fresh(now, fresh_for) {
+        if !subscription.has_sent_lease_within(now, fresh_for) {
             continue;
         }
         fresh.topics.extend(&subscription.topics);
--- a/crates/fernknot-distribution/src/subscription.rs
+++ b/crates/fernknot-distribution/src/subscription.rs
@@ -75,6 +75,12 @@
         self.lease_series.is_some_and(|series| series.last_at - series.started_at >= min_spacing)
     }
 
+    /// Whether a heartbeat with a lease arrived within `period`. Unlike [`Self::is_fresh`], false after
+    /// [`Self::reset_liveness`] until the next one.
+    pub fn has_sent_lease_within(&self, now: Nanos, period: Nanos) -> bool {
+        self.lease_series.is_some_and(|series| now - series.last_at <= period)
+    }
+
     /// Restarts the time-outs of the source, as if it had sent a heartbeat with a lease now. This confirms nothing.
     pub fn reset_liveness(&mut self, now: Nanos) {
         self.subscribed_at = now;
