--- a/crates/fernknot-gateway/src/counters.rs
+++ b/crates/fernknot-gateway/src/counters.rs
@@ -9,6 +9,7 @@
     pub(crate) requests: u64,
     unrouted: u64,
     without_config: u64,
+    unconfirmed_config: u64,
     malformed: u64,
     overloaded: u64,
 }
@@ -17,6 +18,7 @@
     pub(crate) fn count(&mut self, rejection: Rejection) {
         let counter = match rejection {
             Rejection::NoConfig => &mut self.without_config,
+            Rejection::UnconfirmedConfig => &mut self.unconfirmed_config,
             Rejection::NoRoute => &mut self.unrouted,
             Rejection::InvalidAttemptId | Rejection::Malformed(_) => &mut self.malformed,
             Rejection::TooManyPartialBodies => &mut self.overloaded,
@@ -47,6 +49,12 @@
     pub(crate) services: usize,
     /// Number that the operator gave to the configuration in force (`epoch`); 0 before the first configuration.
     pub(crate) config_epoch: u64,
+    /// Sequence number of the configuration in force among all that ever were; 0 before the first configuration.
+    pub(crate) config_revision: u64,
+    /// Newest sequence number of a configuration that any source has announced.
+    pub(crate) announced_revision: u64,
+    /// Number of update streams that were started.
+    pub(crate) update_streams_started: u64,
     /// Whether the last heartbeat with a lease from a source of the configuration is older than `drain_cutoff_ms`, or
     /// there was none.
     pub(crate) is_config_stale: bool,
@@ -62,6 +70,7 @@
         ("requests", clients.requests),
         ("unrouted", clients.unrouted),
         ("without_config", clients.without_config),
+        ("unconfirmed_config", clients.unconfirmed_config),
         ("malformed", clients.malformed),
         ("overloaded", clients.overloaded),
         ("mismatched_responses", nodes.mismatched_responses),
@@ -73,6 +82,9 @@
         ("nodes", current_values.nodes as u64),
         ("services", current_values.services as u64),
         ("config_epoch", current_values.config_epoch),
+        ("config_revision", current_values.config_revision),
+        ("announced_revision", current_values.announced_revision),
+        ("update_streams_started", current_values.update_streams_started),
         ("config_stale", u64::from(current_values.is_config_stale)),
     ];
     lines.iter().map(|(name, value)| format!("{name} {value}\n")).collect()
--- a/crates/fernknot-gateway/src/updates/mod.rs
+++ b/crates/fernknot-gateway/src/updates/mod.rs
@@ -1,6 +1,8 @@
 //! Updates of configuration, nodes and ownership: received from a controller or from the relay of the zone, and
 //! forwarded to the gateways that subscribe to this one.
 
+mod config_source;
+mod confirmation;
 mod controllers;
 mod ownership;
 mod relay;
@@ -8,5 +10,6 @@
 mod state;
 mod subscribers;
 
+pub(crate) use confirmation::Confirmation;
 pub(crate) use relay::UpdateRelay;
 pub(crate) use state::{LocalState, Update};
--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -1,8 +1,10 @@
 //! Routing of updates from the sources that `fernknot-distribution` selects to this gateway and to its subscribers.
 
+use super::config_source::ConfigSourceLog;
+use super::confirmation::Confirmation;
 use super::controllers::KnownControllers;
 use super::ownership::Ownership;
-use super::sources::{Source, SourceStream, SourceStreams};
+use super::sources::{Source, SourceStream, SourceStreams, subscription_to, topics_of};
 use super::state::{LocalState, Update};
 use super::subscribers::{Subscribers, select, send};
 use fernknot::interface::Nanos;
@@ -43,6 +45,7 @@
     services: BTreeSet<String>,
     /// Identifier of the controller whose heartbeat was the last to arrive with a lease; 0 before the first one.
     last_heartbeat_from: u64,
+    config_source_log: ConfigSourceLog,
 }
 
 /// A gateway that subscribes to this one.
@@ -55,17 +58,26 @@
 
 impl UpdateRelay {
     /// Creates a relay without streams. `settings.handover_timeout` is the time within which an update has to be in
-    /// force everywhere (`apply_ms`); all intervals and time-outs of the relay are shares of it.
+    /// force everywhere (`apply_ms`); all intervals and time-outs of the relay are shares of it. `lease_duration` is that
+    /// of the controllers.
     pub(crate) fn new(
         this_gateway: GatewayRecord,
         seeds: &[SocketAddrV4],
         settings: OwnedKeysSettings,
+        lease_duration: Nanos,
         rng_seed: u64,
     ) -> UpdateRelay {
         let (incarnation, zone, apply_timeout) =
             (this_gateway.incarnation, &this_gateway.zone, settings.handover_timeout);
         let mut relay = UpdateRelay {
-            relays: Relays::new(incarnation, zone, apply_timeout, RelaysLimits::default(), rng_seed),
+            relays: Relays::new(
+                incarnation,
+                zone,
+                apply_timeout,
+                lease_duration,
+                RelaysLimits::default(),
+                rng_seed,
+            ),
             ownership: Ownership::new(&this_gateway, settings),
             this_gateway,
             sources: SourceStreams::default(),
@@ -75,6 +87,7 @@
             controllers: KnownControllers::default(),
             services: BTreeSet::new(),
             last_heartbeat_from: 0,
+            config_source_log: ConfigSourceLog::default(),
         };
         relay.add_controllers(seeds);
         relay
@@ -98,6 +111,19 @@
         self.relays.time_since_lease(now, &Topic::Configuration)
     }
 
+    /// What the sources have confirmed about the configuration.
+    pub(crate) fn confirmation(&self) -> Confirmation {
+        Confirmation {
+            announced_revision: self.relays.newest_seen().revision,
+            until: self.relays.configuration_confirmed_until(),
+        }
+    }
+
+    /// Number of update streams that were started.
+    pub(crate) fn streams_started(&self) -> u64 {
+        self.sources.started()
+    }
+
     /// Restarts the time-outs of sources after a stall of the event loop: messages that were not received during the
     /// stall prove no fault of the sources.
     pub(crate) fn resume_after_stall(&mut self, now: Nanos) {
@@ -174,7 +200,7 @@
         topics: &[Topic],
     ) {
         let carries_config = topics.contains(&Topic::Configuration);
-        let subscription = self.subscription(topics);
+        let subscription = subscription_to(topics, self.services.len());
         let known = self.sources.connection_of(source);
         if let Some(stream) = known.and_then(|id| self.sources.get_mut(id))
             && stream.subscription == subscription
@@ -205,18 +231,6 @@
         }
     }
 
-    fn subscription(&self, topics: &[Topic]) -> Subscription {
-        let service = |topic: &Topic| match topic {
-            Topic::Configuration => None,
-            Topic::Service(name) => Some(name.to_string()),
-        };
-        let names: Vec<String> = topics.iter().filter_map(service).collect();
-        match names.len() >= self.services.len() {
-            true => Subscription::All,
-            false => Subscription::Services(names),
-        }
-    }
-
     /// Sends each source a heartbeat, and reports the live subscribers to the source of the configuration only. Relays
     /// of different topics may subscribe to each other in cycles: if reports were sent to all sources, those of
     /// gateways that are gone would circulate for ever and accumulate. The streams of the configuration form a tree.
@@ -309,6 +323,10 @@
                     has_lease: holds_lease,
                     hops,
                 };
+                if holds_lease && stream.carries_config {
+                    let timeout = self.heartbeat_interval;
+                    self.config_source_log.record_lease(now, source, revision, timeout);
+                }
                 self.handle_heartbeat(now, source, heartbeat, sender, controllers);
                 if holds_lease {
                     updates.push(Update::SourceHealthy);
@@ -403,7 +421,7 @@
     ) {
         let NewSubscriber { gateway, subscription, revision } = subscriber;
         self.subscribers.identify(id);
-        if !self.relays.subscribe(gateway.addr, self.topics(&subscription)) {
+        if !self.relays.subscribe(gateway.addr, topics_of(&subscription, &self.services)) {
             network.close(id);
             return self.connection_closed(now, id);
         }
@@ -423,15 +441,6 @@
         }
     }
 
-    fn topics(&self, subscription: &Subscription) -> Vec<Topic> {
-        let mut topics: Vec<Topic> = match subscription {
-            Subscription::All => self.services.iter().map(|name| Topic::service(name)).collect(),
-            Subscription::Services(names) => names.iter().map(|name| Topic::service(name)).collect(),
-        };
-        topics.push(Topic::Configuration);
-        topics
-    }
-
     // ---- Forwarding ------------------------------------------------------------------------
 
     fn heartbeat_message(&self, heartbeat: SourceHeartbeat) -> ControllerToGateway {
