Count rejected requests by the gateway's state, and attempts to nodes that leave

DENIED and DRAIN may have several causes: a source that is out of date, a gateway that is ready too early, the limits of the parser, or a drain that was learnt but not heeded. The counters could not tell these apart: 404 and 400 were counted without the state of the gateway, and nothing said how old the lists of nodes are.

Rejections are now counted by status, readiness and whether a source has confirmed the configuration within apply_ms; the age of the lists of nodes by topic is reported; and attempts to nodes that are known to leave are counted by the time since the gateway learnt it.

--- a/crates/fernknot-gateway/src/attempts.rs
+++ b/crates/fernknot-gateway/src/attempts.rs
@@ -28,17 +28,21 @@
     requests: RequestTable,
     connections: NodeConnections,
     node_idle_timeout: Nanos,
+    drain_cutoff: Nanos,
     counters: NodeCounters,
     seeded_bug: Option<SeededBug>,
 }
 
 impl Attempts {
-    pub(crate) fn new() -> Attempts {
+    /// Creates the state without requests. `drain_cutoff` is the time for which requests may still go to a node after
+    /// its draining was acknowledged; attempts to nodes that leave are counted by it.
+    pub(crate) fn new(drain_cutoff: Nanos) -> Attempts {
         Attempts {
             decisions: Decisions::default(),
             requests: RequestTable::default(),
             connections: NodeConnections::default(),
             node_idle_timeout: Nanos::from_millis(DEFAULT_NODE_IDLE_MS),
+            drain_cutoff,
             counters: NodeCounters::default(),
             seeded_bug: None,
         }
@@ -164,7 +168,11 @@
         for id in expired {
             network.close(id);
         }
-        let addr = self.connections.endpoint(node).ok_or(Outcome::NeverSent)?.addr;
+        let endpoint = self.connections.endpoint(node).ok_or(Outcome::NeverSent)?;
+        let addr = endpoint.addr;
+        if let Some(since) = endpoint.leaving_since {
+            self.counters.to_leaving_nodes.count(now - since, self.drain_cutoff);
+        }
         let id = match idle.filter(|id| network.is_open(*id)) {
             Some(id) => {
                 self.connections.assign(id, attempt);
@@ -256,6 +264,7 @@
         }
         // Unsent attempts may not reach a node that leaves in time, since a connection may take seconds to open.
         for node in changes.leaving {
+            self.connections.mark_leaving(now, node);
             let in_flight = self.connections.in_flight(Some(node), Nanos(u64::MAX));
             self.abandon_unopened(now, in_flight, network);
         }
--- a/crates/fernknot-gateway/src/clients/rejection.rs
+++ b/crates/fernknot-gateway/src/clients/rejection.rs
@@ -49,7 +49,7 @@
         matches!(self, Rejection::Malformed(_) | Rejection::TooManyPartialBodies | Rejection::ReceiveTimeout)
     }
 
-    fn status(&self) -> u16 {
+    pub(crate) fn status(&self) -> u16 {
         match self {
             Rejection::NoConfig | Rejection::TooManyPartialBodies => 503,
             Rejection::NoRoute => 404,
--- a/crates/fernknot-gateway/src/counters.rs
+++ b/crates/fernknot-gateway/src/counters.rs
@@ -1,6 +1,32 @@
 //! Counters and current values of a gateway, and their text for operators: one per line, name and value.
 
 use crate::clients::Rejection;
+use fernknot::interface::Nanos;
+use std::collections::BTreeMap;
+
+/// Age of a node's announcement to leave up to which attempts to it count as recent.
+const RECENT_LEAVE: Nanos = Nanos(1_000_000_000);
+
+/// State of a gateway when it rejects a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ServingState {
+    /// Whether the gateway reports that it is ready.
+    pub(crate) is_ready: bool,
+    /// Whether a source has confirmed the configuration within `apply_ms`.
+    pub(crate) is_config_confirmed: bool,
+}
+
+impl ServingState {
+    /// Returns the state as a part of a counter's name.
+    fn name(self) -> &'static str {
+        match (self.is_ready, self.is_config_confirmed) {
+            (true, true) => "ready_confirmed",
+            (true, false) => "ready_unconfirmed",
+            (false, true) => "unready_confirmed",
+            (false, false) => "unready_unconfirmed",
+        }
+    }
+}
 
 /// Counters of clients' requests since the start of the process.
 #[derive(Default)]
@@ -11,10 +37,13 @@
     without_config: u64,
     malformed: u64,
     overloaded: u64,
+    /// Rejected requests by status and by the gateway's state.
+    rejected: BTreeMap<(u16, ServingState), u64>,
 }
 
 impl ClientCounters {
-    pub(crate) fn count(&mut self, rejection: Rejection) {
+    pub(crate) fn count(&mut self, rejection: Rejection, state: ServingState) {
+        *self.rejected.entry((rejection.status(), state)).or_default() += 1;
         let counter = match rejection {
             Rejection::NoConfig => &mut self.without_config,
             Rejection::NoRoute => &mut self.unrouted,
@@ -26,6 +55,26 @@
     }
 }
 
+/// Attempts to nodes that had announced to drain, or to end, by the time since the gateway learnt of it.
+#[derive(Default)]
+pub(crate) struct LeavingNodeCounters {
+    recent: u64,
+    before_cutoff: u64,
+    after_cutoff: u64,
+}
+
+impl LeavingNodeCounters {
+    /// Counts an attempt. `cutoff` is `drain_cutoff_ms`.
+    pub(crate) fn count(&mut self, time_since_leave: Nanos, cutoff: Nanos) {
+        let counter = match time_since_leave {
+            time if time <= RECENT_LEAVE.min(cutoff) => &mut self.recent,
+            time if time <= cutoff => &mut self.before_cutoff,
+            _ => &mut self.after_cutoff,
+        };
+        *counter += 1;
+    }
+}
+
 /// Counters of connections to nodes and of nodes' responses since the start of the process.
 #[derive(Default)]
 pub(crate) struct NodeCounters {
@@ -37,6 +86,8 @@
     pub(crate) invalid_responses: u64,
     /// Responses of another incarnation than the addressed one.
     pub(crate) wrong_node_responses: u64,
+    /// Attempts to nodes that were known to leave.
+    pub(crate) to_leaving_nodes: LeavingNodeCounters,
 }
 
 /// Values that describe a gateway's current state.
@@ -50,6 +101,11 @@
     /// Whether the last heartbeat with a lease from a source of the configuration is older than `drain_cutoff_ms`, or
     /// there was none.
     pub(crate) is_config_stale: bool,
+    /// Topics (the configuration, and the nodes of each service) without a current source that has sent a heartbeat
+    /// with a lease.
+    pub(crate) topics_without_lease: usize,
+    /// Time since the last heartbeat with a lease for the topic whose last one is the oldest.
+    pub(crate) oldest_topic_lease: Nanos,
 }
 
 /// Returns all counters and current values except the engine's counters.
@@ -68,12 +124,21 @@
         ("invalid_responses", nodes.invalid_responses),
         ("node_connections_opened", nodes.connections_opened),
         ("wrong_node_responses", nodes.wrong_node_responses),
+        ("attempts_to_leaving_nodes_recent", nodes.to_leaving_nodes.recent),
+        ("attempts_to_leaving_nodes_before_cutoff", nodes.to_leaving_nodes.before_cutoff),
+        ("attempts_to_leaving_nodes_after_cutoff", nodes.to_leaving_nodes.after_cutoff),
         ("requests_in_flight", current_values.requests_in_flight as u64),
         ("node_connections", current_values.node_connections as u64),
         ("nodes", current_values.nodes as u64),
         ("services", current_values.services as u64),
         ("config_epoch", current_values.config_epoch),
         ("config_stale", u64::from(current_values.is_config_stale)),
+        ("topics_without_lease", current_values.topics_without_lease as u64),
+        ("oldest_topic_lease_ms", current_values.oldest_topic_lease.as_millis() as u64),
     ];
-    lines.iter().map(|(name, value)| format!("{name} {value}\n")).collect()
+    let rejected = clients
+        .rejected
+        .iter()
+        .map(|((status, state), count)| format!("rejected_{status}_{} {count}\n", state.name()));
+    lines.iter().map(|(name, value)| format!("{name} {value}\n")).chain(rejected).collect()
 }
--- a/crates/fernknot-gateway/src/data_plane.rs
+++ b/crates/fernknot-gateway/src/data_plane.rs
@@ -5,7 +5,7 @@
 use crate::budget::BudgetShare;
 use crate::clients::{ClientConnections, ClientRead, Rejection};
 use crate::config_snapshot::ConfigSnapshot;
-use crate::counters::ClientCounters;
+use crate::counters::{ClientCounters, ServingState};
 use crate::engine_setup::initial_site;
 use crate::error::GatewayError;
 use crate::listeners::ListenAddress;
@@ -33,6 +33,8 @@
     pub(crate) nodes: NodeTable,
     budget: BudgetShare,
     pub(crate) counters: ClientCounters,
+    /// State in which rejected requests are counted.
+    pub(crate) serving_state: ServingState,
     /// Whether a shutdown has begun: clients' connections are closed after their pending responses.
     pub(crate) is_stopping: bool,
 }
@@ -46,15 +48,17 @@
     ) -> Result<DataPlane, GatewayError> {
         let routing = Routing::new(&settings, max_connections(process), process.limits.memory_mb, seed)?;
         let heartbeat_interval = Nanos::from_millis(process.heartbeat_interval_ms);
+        let drain_cutoff = settings.drain_cutoff;
         Ok(DataPlane {
             settings,
             seed,
             clients: ClientConnections::default(),
             routing,
-            attempts: Attempts::new(),
+            attempts: Attempts::new(drain_cutoff),
             nodes: NodeTable::new(heartbeat_interval, ZoneIds::new(process)),
             budget: BudgetShare::new(process.bounds.retry_slack),
             counters: ClientCounters::default(),
+            serving_state: ServingState::default(),
             is_stopping: false,
         })
     }
@@ -110,7 +114,7 @@
     }
 
     fn reject<N: Network>(&mut self, now: Nanos, id: ConnectionId, rejection: Rejection, network: &mut N) {
-        self.counters.count(rejection);
+        self.counters.count(rejection, self.serving_state);
         if let Rejection::Malformed(error) = rejection {
             log::debug!(target: component::CONNECTIONS, "client request rejected: {} {}", error.status, error.reason);
         }
--- a/crates/fernknot-gateway/src/gateway.rs
+++ b/crates/fernknot-gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 //! network that the host, the program that drives it, passes in.
 
 use crate::clients::LocalReply;
-use crate::counters::{CurrentValues, counters_text};
+use crate::counters::{CurrentValues, ServingState, counters_text};
 use crate::data_plane::DataPlane;
 use crate::discovery::Discovery;
 use crate::error::GatewayError;
@@ -89,6 +89,7 @@
             log::warn!(target: component::PROCESS, "event loop stalled for {:.0} ms; restarting time-outs", gap.as_millis());
             self.update_relay.resume_after_stall(now);
         }
+        self.data_plane.serving_state = self.serving_state(now);
         for event in events {
             self.handle_event(now, event, network);
         }
@@ -161,6 +162,12 @@
         !self.shutdown.is_requested() && has_config && self.is_synchronized
     }
 
+    fn serving_state(&self, now: Nanos) -> ServingState {
+        let config_age = self.update_relay.config_age(now);
+        let is_config_confirmed = config_age.is_some_and(|age| age <= self.settings.apply_timeout);
+        ServingState { is_ready: self.is_ready(), is_config_confirmed }
+    }
+
     // ---- Events ----------------------------------------------------------------------------
 
     fn handle_event<N: Network>(&mut self, now: Nanos, event: Event, network: &mut N) {
@@ -250,6 +257,7 @@
     fn counters_text(&self, now: Nanos) -> String {
         let DataPlane { attempts, nodes, routing, counters, .. } = &self.data_plane;
         let config_age = self.update_relay.config_age(now);
+        let (topics_without_lease, oldest_topic_lease) = self.update_relay.topic_lease_ages(now);
         let current_values = CurrentValues {
             requests_in_flight: attempts.requests().len(),
             node_connections: attempts.connections().len(),
@@ -257,6 +265,8 @@
             services: routing.service_count(),
             config_epoch: routing.config().map_or(0, |snapshot| snapshot.config.epoch),
             is_config_stale: config_age.is_none_or(|age| age > self.settings.drain_cutoff),
+            topics_without_lease,
+            oldest_topic_lease,
         };
         counters_text(counters, attempts.counters(), &current_values) + &attempts.decisions().counters_text()
     }
--- a/crates/fernknot-gateway/src/nodes/connections.rs
+++ b/crates/fernknot-gateway/src/nodes/connections.rs
@@ -38,6 +38,8 @@
     pub incarnation: String,
     /// Address at which the incarnation listens.
     pub addr: SocketAddrV4,
+    /// Time at which this gateway learnt that the incarnation drains.
+    pub leaving_since: Option<Nanos>,
     /// Idle connections to the incarnation, the most recently used one last.
     idle_connections: Vec<ConnectionId>,
 }
@@ -70,8 +72,12 @@
 impl NodeConnections {
     /// Adds an incarnation of a node that attempts may be sent to, or sets its new address.
     pub fn add_endpoint(&mut self, node: NodeId, incarnation: &str, addr: SocketAddrV4) {
-        let endpoint =
-            || NodeEndpoint { incarnation: incarnation.to_string(), addr, idle_connections: Vec::new() };
+        let endpoint = || NodeEndpoint {
+            incarnation: incarnation.to_string(),
+            addr,
+            leaving_since: None,
+            idle_connections: Vec::new(),
+        };
         self.endpoints.entry(node).or_insert_with(endpoint).addr = addr;
     }
 
@@ -80,6 +86,13 @@
         self.endpoints.get(&node)
     }
 
+    /// Records that an incarnation drains.
+    pub fn mark_leaving(&mut self, now: Nanos, node: NodeId) {
+        if let Some(endpoint) = self.endpoints.get_mut(&node) {
+            endpoint.leaving_since.get_or_insert(now);
+        }
+    }
+
     /// Removes an incarnation that is gone. Returns its idle connections, which the caller closes. Attempts in flight
     /// continue.
     pub fn remove_endpoint(&mut self, node: NodeId) -> Vec<ConnectionId> {
--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -98,6 +98,16 @@
         self.relays.time_since_lease(now, &Topic::Configuration)
     }
 
+    /// Returns the number of topics without a current source that has sent a heartbeat with a lease, and the greatest
+    /// time since the last such heartbeat for any other topic.
+    pub(crate) fn topic_lease_ages(&self, now: Nanos) -> (usize, Nanos) {
+        let topics = self.services.iter().map(|name| Topic::service(name)).chain([Topic::Configuration]);
+        let ages: Vec<Option<Nanos>> =
+            topics.map(|topic| self.relays.time_since_lease(now, &topic)).collect();
+        let without_lease = ages.iter().filter(|age| age.is_none()).count();
+        (without_lease, ages.into_iter().flatten().max().unwrap_or(Nanos(0)))
+    }
+
     /// Restarts the time-outs of sources after a stall of the event loop: messages that were not received during the
     /// stall prove no fault of the sources.
     pub(crate) fn resume_after_stall(&mut self, now: Nanos) {
