--- a/crates/fernknot-gateway/tests/scenarios/mod.rs
+++ b/crates/fernknot-gateway/tests/scenarios/mod.rs
@@ -4,22 +4,32 @@
 use fernknot::interface::Nanos;
 use fernknot_gateway::{Gateway, ListenerIds};
 use fernknot_net::{ConnectionId, Event, NetError};
-use fernknot_ownership::Assignment;
+use fernknot_ownership::{Assignment, GatewayRecord, IncarnationId};
 use fernknot_registry::{NodeRecord, NodeState};
-use fernknot_rpc::{ControllerEndpoint, ControllerToGateway, write_message};
+use fernknot_rpc::{
+    ControllerEndpoint, ControllerToGateway, GatewayToController, Subscription, read_message, write_message,
+};
 use fernknot_schema::{ClientLimits, Route, RouteTarget, RoutingConfig, Service, TrafficClass};
 use fernknot_simulator::ports::{PortAction, SimulatedPorts};
 
 mod attempts;
 mod identifiers;
 mod idle_connections;
+mod limits;
 mod partial_bodies;
+mod relayed_updates;
 mod resets;
 
 const NODE: &str = "10.128.0.1:8080";
+/// Port of other gateways for updates.
+const RELAY_PORT: u16 = 7120;
 /// Maximum time between two steps.
 const STEP_INTERVAL: Nanos = Nanos(10_000_000);
 const HEARTBEAT_INTERVAL: Nanos = Nanos(100_000_000);
+/// Maximum size of a message that a test reads, in bytes.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// Incarnation of the scenario's gateway.
+const INCARNATION: u64 = 7;
 
 pub struct Scenario {
     now: Nanos,
@@ -29,6 +39,8 @@
     controller: ConnectionId,
     /// Connections to the node that were started, oldest first.
     node_connections: Vec<ConnectionId>,
+    /// Connections to other gateways on which the gateway subscribes to updates.
+    relay_connections: Vec<ConnectionId>,
     closed: Vec<ConnectionId>,
     revision: u64,
 }
@@ -59,10 +71,21 @@
 impl Scenario {
     /// Starts a gateway that has this configuration and knows the node.
     pub fn start(memory_mb: u64, config: RoutingConfig) -> Scenario {
+        let mut scenario = Scenario::without_updates(memory_mb);
+        scenario.send_update(&ControllerToGateway::Assignment(Assignment::default()));
+        scenario.send_update(&ControllerToGateway::NodeUpdates(vec![node_record("lone", NodeState::Ready)]));
+        scenario.apply_config(config);
+        scenario.send_update(&ControllerToGateway::SnapshotComplete);
+        scenario.send_heartbeat();
+        scenario
+    }
+
+    /// Starts a gateway that has subscribed to the controller, which has sent nothing.
+    pub fn without_updates(memory_mb: u64) -> Scenario {
         let mut network = SimulatedPorts::default();
         let listeners =
             ListenerIds { front: network.new_id(), ready: network.new_id(), inner: network.new_id() };
-        let gateway = Gateway::new(settings(memory_mb), listeners, 7).unwrap();
+        let gateway = Gateway::new(settings(memory_mb), listeners, INCARNATION).unwrap();
         let (node_connections, closed) = (Vec::new(), Vec::new());
         let controller = ConnectionId(0);
         let mut scenario = Scenario {
@@ -72,31 +95,32 @@
             listeners,
             controller,
             node_connections,
+            relay_connections: Vec::new(),
             closed,
             revision: 0,
         };
         scenario.step(Vec::new());
-        scenario.send_update(&ControllerToGateway::Assignment(Assignment::default()));
-        scenario.send_update(&ControllerToGateway::NodeUpdates(vec![node_record("lone", NodeState::Ready)]));
-        scenario.apply_config(config);
-        scenario.send_update(&ControllerToGateway::SnapshotComplete);
-        scenario.send_heartbeat();
         scenario
     }
 
     /// Sends a heartbeat of the controller, which holds the lease.
     pub fn send_heartbeat(&mut self) {
+        let heartbeat = self.heartbeat();
+        self.send_update(&heartbeat);
+    }
+
+    /// Returns a heartbeat with a lease.
+    pub fn heartbeat(&self) -> ControllerToGateway {
         let addr = CONTROLLER.parse().unwrap();
         let controllers = vec![ControllerEndpoint { addr, zone: "north".into() }];
-        let revision = self.revision;
-        self.send_update(&ControllerToGateway::Heartbeat {
+        ControllerToGateway::Heartbeat {
             sender: 1,
-            revision,
+            revision: self.revision,
             holds_lease: true,
             hops: 0,
             fencing_token: 0,
             controllers,
-        });
+        }
     }
 
     /// Advances the time, with heartbeats of the controller.
@@ -125,11 +149,57 @@
 
     /// Sends a message of the controller.
     pub fn send_update(&mut self, message: &ControllerToGateway) {
-        write_message(&mut self.network.connections.get_mut(&self.controller).unwrap().input, message);
-        let id = self.controller;
+        self.send_update_from(self.controller, message);
+    }
+
+    /// Sends a message of the source at the other end of a connection.
+    pub fn send_update_from(&mut self, id: ConnectionId, message: &ControllerToGateway) {
+        write_message(&mut self.network.connections.get_mut(&id).unwrap().input, message);
         self.step(vec![Event::Received { connection: id }]);
     }
 
+    /// Opens the connections to other gateways, and returns each with the subscription sent over it last.
+    pub fn relay_subscriptions(&mut self) -> Vec<(ConnectionId, Subscription)> {
+        let mut subscriptions = Vec::new();
+        for id in self.relay_connections.clone() {
+            let Some(connection) = self.network.connections.get_mut(&id) else { continue };
+            connection.is_open = true;
+            while let Some(message) = read_message(&mut connection.output, MAX_MESSAGE_BYTES).unwrap() {
+                if let GatewayToController::Subscribe { subscription, .. } = message {
+                    subscriptions.retain(|(known, _)| *known != id);
+                    subscriptions.push((id, subscription));
+                }
+            }
+        }
+        subscriptions
+    }
+
+    /// Connects another gateway, which subscribes to updates and has no configuration.
+    pub fn connect_subscriber(&mut self, subscription: Subscription) -> ConnectionId {
+        let id = self.network.new_id();
+        self.network.add_connection(id, true);
+        let gateway = gateway_record(99);
+        let peer = gateway.addr;
+        self.step(vec![Event::Accepted { connection: id, listener: self.listeners.inner, peer }]);
+        let message = GatewayToController::Subscribe { gateway, ready: false, subscription, revision: 0 };
+        write_message(&mut self.network.connections.get_mut(&id).unwrap().input, &message);
+        self.step(vec![Event::Received { connection: id }]);
+        id
+    }
+
+    /// Returns the messages that the gateway has sent to a subscriber since the last call.
+    pub fn take_updates(&mut self, id: ConnectionId) -> Vec<ControllerToGateway> {
+        let output = &mut self.network.connections.get_mut(&id).unwrap().output;
+        std::iter::from_fn(|| read_message(output, MAX_MESSAGE_BYTES).unwrap()).collect()
+    }
+
+    /// Returns the status of the gateway's reply to a question for readiness.
+    pub fn readiness(&mut self) -> String {
+        let id = self.send_platform_request("GET /-/readiness HTTP/1.1\r\nHost: p\r\n\r\n");
+        let reply = self.take_output(id);
+        reply.split(' ').nth(1).unwrap_or_default().to_string()
+    }
+
     /// Sends the next revision of the configuration from the controller.
     pub fn apply_config(&mut self, config: RoutingConfig) {
         self.revision += 1;
@@ -148,6 +218,7 @@
                     self.controller = id;
                     self.network.connections.get_mut(&id).unwrap().is_open = true;
                 }
+                PortAction::Connect(id, to) if to.port() == RELAY_PORT => self.relay_connections.push(id),
                 PortAction::Connect(id, _) => self.node_connections.push(id),
                 PortAction::Close(id) => self.closed.push(id),
                 PortAction::StopListening => {}
@@ -225,6 +296,12 @@
     }
 }
 
+/// Returns a record of a gateway of the scenario's zone.
+pub fn gateway_record(incarnation: u64) -> GatewayRecord {
+    let addr = format!("10.1.0.{incarnation}:{RELAY_PORT}").parse().unwrap();
+    GatewayRecord { incarnation: IncarnationId(incarnation), addr, zone: "north".into() }
+}
+
 /// Returns a record of the only node, as a node of this service.
 pub fn node_record(service: &str, state: NodeState) -> NodeRecord {
     NodeRecord {
--- a/crates/fernknot-registry/tests/replication.rs
+++ b/crates/fernknot-registry/tests/replication.rs
@@ -91,6 +91,20 @@
     assert_eq!(directory.ready_nodes("gallery").count(), 2);
 }
 
+// A source that has missed the announcement would otherwise make the node ready again.
+#[test]
+fn given_a_draining_node_when_sources_omit_it_for_long_then_an_older_record_does_not_make_it_ready() {
+    let mut directory = NodeDirectory::new(HEARTBEAT_INTERVAL, NodeDirectoryLimits::default());
+    directory.apply_updates(after_intervals(0.0), &[record("a", 1, NodeState::Draining, 2)]);
+    directory.apply_snapshot(after_intervals(1.0), None, &[]);
+    for interval in 1..20 {
+        directory.record_source_heartbeat(after_intervals(f64::from(interval)));
+    }
+    assert_eq!(directory.expire(after_intervals(20.0)), 1);
+    directory.apply_updates(after_intervals(21.0), &[record("a", 1, NodeState::Ready, 1)]);
+    assert_eq!(directory.ready_nodes("gallery").count(), 0);
+}
+
 proptest! {
     #[test]
     fn records_merged_in_any_order_give_the_same_result(
