Forward a node record only if it changed what is known here

A gateway forwarded each received record whose state differed from the one it knew, also an older one that changes nothing: a gateway that knows that a node is gone forwarded `Draining` again each time it arrived. Gateways that subscribe to each other (for different groups of topics, with the nodes of services outside the configuration, which belong to every subscription; or for a moment after an assignment) send such a record to each other for ever, which costs processor time and bytes between zones on machines of a fraction of a core.

The directory's own record before and after an update is compared now, and the merged record is forwarded. Each forward raises the state or the sequence number of a record, so it ends.

--- a/crates/fernknot-gateway/src/nodes/node_table.rs
+++ b/crates/fernknot-gateway/src/nodes/node_table.rs
@@ -63,16 +63,18 @@
         self.engine_nodes.values().map(BTreeMap::len).sum()
     }
 
-    /// Applies reported records. Returns those with a new state or a newer sequence number: only these are forwarded,
-    /// so that no record circulates between relays for ever.
+    /// Applies reported records. Returns the known records that have a different state or sequence number than before:
+    /// only these are forwarded, so that no record circulates between relays for ever.
     pub(crate) fn apply_updates(&mut self, now: Nanos, records: &[NodeRecord]) -> Vec<NodeRecord> {
-        let is_new = |record: &&NodeRecord| {
-            let known = self.directory.get(&record.id);
-            known.is_none_or(|known| known.state != record.state || known.sequence < record.sequence)
-        };
-        let new = records.iter().filter(is_new).cloned().collect();
+        let versions_before: Vec<_> = records.iter().map(|record| self.version(&record.id)).collect();
         self.directory.apply_updates(now, records);
-        new
+        let changed = records.iter().zip(versions_before);
+        let changed = changed.filter(|(record, before)| self.version(&record.id) != *before);
+        changed.filter_map(|(record, _)| self.directory.get(&record.id).cloned()).collect()
+    }
+
+    fn version(&self, incarnation: &str) -> Option<(NodeState, u64)> {
+        self.directory.get(incarnation).map(|record| (record.state, record.sequence))
     }
 
     /// Completes a snapshot: all records of the subscription have been reported since `watermark`, which the directory
