Add a failing test of an update larger than the read-ahead of a connection

The host's event loop stops reading a connection at 64 KiB of unconsumed input, and a message is consumed only when it is complete.

--- a/crates/fernknot-gateway/tests/scenarios/mod.rs
+++ b/crates/fernknot-gateway/tests/scenarios/mod.rs
@@ -28,6 +28,8 @@
 const HEARTBEAT_INTERVAL: Nanos = Nanos(100_000_000);
 /// Maximum size of a message that a test reads, in bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// Number of unconsumed bytes of a connection from which on the host's event loop does not read it.
+const READ_AHEAD_BYTES: usize = 64 * 1024;
 /// Incarnation of the scenario's gateway.
 const INCARNATION: u64 = 7;
 
@@ -254,6 +256,19 @@
         id
     }
 
+    /// Delivers bytes on a connection in pieces, as long as the gateway consumes them. Returns whether all were delivered.
+    pub fn receive_read_ahead(&mut self, id: ConnectionId, bytes: &[u8]) -> bool {
+        for piece in bytes.chunks(READ_AHEAD_BYTES) {
+            let input = &mut self.network.connections.get_mut(&id).unwrap().input;
+            if input.len() >= READ_AHEAD_BYTES {
+                return false;
+            }
+            input.push(piece);
+            self.step(vec![Event::Received { connection: id }]);
+        }
+        true
+    }
+
     /// Delivers bytes on a connection.
     pub fn receive(&mut self, id: ConnectionId, text: &str) {
         self.network.connections.get_mut(&id).unwrap().input.push(text.as_bytes());
--- a/crates/fernknot-gateway/tests/scenarios/relayed_updates.rs
+++ b/crates/fernknot-gateway/tests/scenarios/relayed_updates.rs
@@ -1,17 +1,24 @@
 //! Updates that a gateway receives from several sources and forwards to its subscribers.
 
-use super::{HEARTBEAT_INTERVAL, INCARNATION, Scenario, config, gateway_record, node_record};
+use super::{
+    HEARTBEAT_INTERVAL, INCARNATION, READ_AHEAD_BYTES, Scenario, config, gateway_record, node_record,
+};
 use fernknot::interface::Nanos;
-use fernknot_net::ConnectionId;
+use fernknot_net::{Buffer, ConnectionId};
 use fernknot_ownership::{Assignment, FencingToken};
 use fernknot_registry::{NodeRecord, NodeState};
-use fernknot_rpc::{ControllerToGateway, Subscription};
+use fernknot_rpc::{ControllerToGateway, Subscription, write_message};
 use fernknot_schema::{ClientLimits, RoutingConfig, Service};
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// Number of gateways of a zone with several groups of topics.
 const GATEWAYS: u64 = 40;
 /// Number of services, of which each group of topics has some.
 const SERVICES: usize = 24;
+/// Number of nodes whose records fill more than twice the read-ahead of a connection.
+const MANY_NODES: usize = 20_000;
+/// First address of these nodes.
+const FIRST_ADDRESS: u32 = 0x0a20_0000;
 /// Time after which no source counts as current.
 const OUTAGE: Nanos = Nanos(3_000_000_000);
 
@@ -74,6 +81,30 @@
     }
 }
 
+// A message that never becomes complete holds up all later ones, drains of nodes included.
+#[test]
+fn given_an_update_larger_than_the_read_ahead_when_it_arrives_then_it_and_the_next_ones_are_applied() {
+    let mut scenario = Scenario::start(260, config(ClientLimits::default()));
+    let subscriber = scenario.connect_subscriber(Subscription::All);
+    scenario.take_updates(subscriber);
+    let record = |index: usize| NodeRecord {
+        id: format!("i-{index}"),
+        addr: SocketAddrV4::new(Ipv4Addr::from(FIRST_ADDRESS + index as u32), 8080),
+        ..node_record("lone", NodeState::Ready)
+    };
+    let many: Vec<NodeRecord> = (0..MANY_NODES).map(record).collect();
+    let gone = NodeRecord { sequence: 3, ..node_record("lone", NodeState::Gone) };
+    let mut bytes = Buffer::default();
+    write_message(&mut bytes, &ControllerToGateway::NodeUpdates(many.clone()));
+    assert!(bytes.len() > 2 * READ_AHEAD_BYTES, "the update is too small: {} bytes", bytes.len());
+    write_message(&mut bytes, &ControllerToGateway::NodeUpdates(vec![gone.clone()]));
+    let controller = scenario.controller;
+    assert!(scenario.receive_read_ahead(controller, bytes.data()), "the update was not consumed");
+    let forwarded = forwarded_nodes(&mut scenario, subscriber);
+    assert_eq!(forwarded.len(), many.len() + 1);
+    assert_eq!(forwarded.last(), Some(&gone));
+}
+
 // A gateway that serves before it knows the nodes of all services rejects requests, and uses nodes that have left.
 #[test]
 fn given_several_sources_when_one_has_sent_its_snapshot_then_the_gateway_is_not_ready_before_the_others_have()
