Receive updates that are larger than the read-ahead of a connection

Cause: the gateway's event loop reads at most 64 KiB ahead (up to twice that, by how its buffer has grown), and a message was consumed only when it was complete in that input. A message above it never became complete, and everything behind it on the stream, drains and heartbeats included, was never read.

A reader for each stream now takes over the bytes of an incomplete message, up to the largest message that is allowed (16 MiB from a source, 1 MiB from a subscriber), so that the event loop goes on reading. The conversion between topics and subscriptions moves to a file of its own.

--- a/crates/fernknot-gateway/src/updates/mod.rs
+++ b/crates/fernknot-gateway/src/updates/mod.rs
@@ -2,11 +2,13 @@
 //! forwarded to the gateways that subscribe to this one.
 
 mod controllers;
+mod message_readers;
 mod ownership;
 mod relay;
 mod sources;
 mod state;
 mod subscribers;
+mod topics;
 
 pub(crate) use relay::UpdateRelay;
 pub(crate) use state::{LocalState, Update};
--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -1,10 +1,12 @@
 //! Routing of updates from the sources that `fernknot-distribution` selects to this gateway and to its subscribers.
 
 use super::controllers::KnownControllers;
+use super::message_readers::MessageReaders;
 use super::ownership::Ownership;
 use super::sources::{Source, SourceStream, SourceStreams};
 use super::state::{LocalState, Update};
 use super::subscribers::{Subscribers, select, send};
+use super::topics::{subscription_to, topics_of};
 use fernknot::interface::Nanos;
 use fernknot_distribution::{Action, Relays, RelaysLimits, SourceHeartbeat, Topic};
 use fernknot_net::{ConnectionId, Network};
@@ -12,7 +14,7 @@
 use fernknot_registry::NodeRecord;
 use fernknot_rpc::{
     ControllerEndpoint, ControllerToGateway, GatewayToController, InspectionTopic, Subscription,
-    read_message, write_message,
+    write_message,
 };
 use fernknot_schema::RoutingConfig;
 use fernknot_telemetry::component;
@@ -21,6 +23,8 @@
 
 /// Maximum size of a message, in bytes. A configuration of the largest size that operators may send fits.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
+/// Maximum size of a message of a subscriber, in bytes. The longest is a subscription by the names of all services.
+const MAX_SUBSCRIBER_MESSAGE_BYTES: usize = 1 << 20;
 /// Interval of this gateway's own heartbeats, in intervals of its sources' heartbeats.
 const HEARTBEAT_INTERVALS: f64 = 2.0;
 /// Time without heartbeats after which a subscriber is not reported as live, in intervals of this gateway's heartbeats.
@@ -35,6 +39,7 @@
     relays: Relays,
     sources: SourceStreams,
     subscribers: Subscribers,
+    readers: MessageReaders,
     ownership: Ownership,
     heartbeat_interval: Nanos,
     next_heartbeat_at: Nanos,
@@ -70,6 +75,7 @@
             this_gateway,
             sources: SourceStreams::default(),
             subscribers: Subscribers::default(),
+            readers: MessageReaders::default(),
             heartbeat_interval: Relays::heartbeat_interval(apply_timeout).times(HEARTBEAT_INTERVALS),
             next_heartbeat_at: Nanos(0),
             controllers: KnownControllers::default(),
@@ -143,6 +149,7 @@
 
     /// Handles the end of a connection: removes its subscriber, or reports its source as lost.
     pub(crate) fn connection_closed(&mut self, now: Nanos, id: ConnectionId) {
+        self.readers.remove(id);
         if let Some(addr) = self.subscribers.remove(id) {
             self.relays.subscribe(addr, []);
         }
@@ -162,7 +169,11 @@
                 Action::Subscribe { addr, kind, topics } => {
                     self.subscribe(now, network, state, Source { kind, addr }, &topics);
                 }
-                Action::Unsubscribe { addr, kind } => self.sources.close(Source { kind, addr }, network),
+                Action::Unsubscribe { addr, kind } => {
+                    if let Some(id) = self.sources.close(Source { kind, addr }, network) {
+                        self.readers.remove(id);
+                    }
+                }
                 Action::ForwardHeartbeat { to, heartbeat } => {
                     let message = self.heartbeat_message(heartbeat);
                     self.subscribers.multicast(network, &to, &message);
@@ -184,7 +195,7 @@
         topics: &[Topic],
     ) {
         let carries_config = topics.contains(&Topic::Configuration);
-        let subscription = self.subscription(topics);
+        let subscription = subscription_to(topics, &self.services);
         let known = self.sources.connection_of(source);
         if let Some(stream) = known.and_then(|id| self.sources.get_mut(id))
             && stream.subscription == subscription
@@ -215,18 +226,6 @@
         }
     }
 
-    fn subscription(&self, topics: &[Topic]) -> Subscription {
-        let service = |topic: &Topic| match topic {
-            Topic::Configuration => None,
-            Topic::Service(name) => Some(name.to_string()),
-        };
-        let names: Vec<String> = topics.iter().filter_map(service).collect();
-        match names.len() >= self.services.len() {
-            true => Subscription::All,
-            false => Subscription::Services(names),
-        }
-    }
-
     /// Sends each source a heartbeat, and reports the live subscribers to the source of the configuration only. Relays
     /// of different topics may subscribe to each other in cycles: if reports were sent to all sources, those of
     /// gateways that are gone would circulate for ever and accumulate. The streams of the configuration form a tree.
@@ -269,12 +268,13 @@
         loop {
             let Some(input) = network.input(id) else { return };
             let read = if self.sources.contains(id) {
-                let message = read_message::<ControllerToGateway>(input, MAX_MESSAGE_BYTES);
+                let message = self.readers.read::<ControllerToGateway>(id, input, MAX_MESSAGE_BYTES);
                 message.map(|message| {
                     message.map(|message| self.handle_source_message(now, id, message, updates))
                 })
             } else {
-                let message = read_message::<GatewayToController>(input, MAX_MESSAGE_BYTES);
+                let message =
+                    self.readers.read::<GatewayToController>(id, input, MAX_SUBSCRIBER_MESSAGE_BYTES);
                 message.map(|message| {
                     message.map(|message| {
                         self.handle_subscriber_message(now, id, message, network, state, updates);
@@ -413,7 +413,7 @@
     ) {
         let NewSubscriber { gateway, subscription, revision } = subscriber;
         self.subscribers.identify(id);
-        if !self.relays.subscribe(gateway.addr, self.topics(&subscription)) {
+        if !self.relays.subscribe(gateway.addr, topics_of(&subscription, &self.services)) {
             network.close(id);
             return self.connection_closed(now, id);
         }
@@ -433,15 +433,6 @@
         }
     }
 
-    fn topics(&self, subscription: &Subscription) -> Vec<Topic> {
-        let mut topics: Vec<Topic> = match subscription {
-            Subscription::All => self.services.iter().map(|name| Topic::service(name)).collect(),
-            Subscription::Services(names) => names.iter().map(|name| Topic::service(name)).collect(),
-        };
-        topics.push(Topic::Configuration);
-        topics
-    }
-
     // ---- Forwarding ------------------------------------------------------------------------
 
     fn heartbeat_message(&self, heartbeat: SourceHeartbeat) -> ControllerToGateway {
--- a/crates/fernknot-gateway/src/updates/sources.rs
+++ b/crates/fernknot-gateway/src/updates/sources.rs
@@ -57,12 +57,12 @@
         self.streams.iter().map(|(id, stream)| (*id, stream))
     }
 
-    /// Closes the stream from a source.
-    pub(super) fn close<N: Network>(&mut self, source: Source, network: &mut N) {
-        if let Some(id) = self.by_source.remove(&source) {
-            self.streams.remove(&id);
-            network.close(id);
-        }
+    /// Closes the stream from a source. Returns its connection.
+    pub(super) fn close<N: Network>(&mut self, source: Source, network: &mut N) -> Option<ConnectionId> {
+        let id = self.by_source.remove(&source)?;
+        self.streams.remove(&id);
+        network.close(id);
+        Some(id)
     }
 
     /// Removes a stream whose connection is closed.
--- a/crates/fernknot-rpc/src/framing.rs
+++ b/crates/fernknot-rpc/src/framing.rs
@@ -6,6 +6,8 @@
 
 /// Size of the length prefix of a message.
 const LENGTH_PREFIX_BYTES: usize = 4;
+/// Maximum capacity that a [`MessageReader`] keeps without an incomplete message, in bytes.
+const MAX_IDLE_BYTES: usize = 4 * 1024;
 
 /// Error of decoding received bytes. The connection has to be closed.
 #[derive(Debug, Error, PartialEq, Eq)]
@@ -50,3 +52,42 @@
     input.consume(LENGTH_PREFIX_BYTES + length);
     message.map(Some).map_err(|_| DecodeError::Malformed { length })
 }
+
+/// Reader of the messages of one connection, which takes over the bytes of an incomplete message.
+///
+/// [`read_message`] leaves them in the input, and an event loop does not read a connection further whose input it holds
+/// many bytes of: there, a message larger than that never becomes complete.
+#[derive(Debug, Default)]
+pub struct MessageReader {
+    incomplete: Buffer,
+}
+
+impl MessageReader {
+    /// Takes the next message, or returns `None` if it is incomplete; `input` is empty then. `max_bytes` limits the
+    /// length of a message, and thereby what the reader holds.
+    ///
+    /// # Errors
+    /// Returns an error if the message is too long or cannot be decoded.
+    pub fn read<M: DecodeOwned>(
+        &mut self,
+        input: &mut Buffer,
+        max_bytes: usize,
+    ) -> Result<Option<M>, DecodeError> {
+        if self.incomplete.is_empty() {
+            let message = read_message(input, max_bytes)?;
+            if message.is_some() {
+                return Ok(message);
+            }
+        }
+        self.incomplete.push(input.data());
+        input.consume(input.len());
+        let message = read_message(&mut self.incomplete, max_bytes)?;
+        self.incomplete.shrink(MAX_IDLE_BYTES);
+        Ok(message)
+    }
+
+    /// Whether it holds no bytes of an incomplete message.
+    pub fn is_empty(&self) -> bool {
+        self.incomplete.is_empty()
+    }
+}
--- a/crates/fernknot-rpc/src/lib.rs
+++ b/crates/fernknot-rpc/src/lib.rs
@@ -20,7 +20,9 @@
 mod messages;
 mod shuffle;
 
-pub use framing::{DecodeError, read_message, write_message};
+/// Bound on the types of the messages that are read.
+pub use bitcode::DecodeOwned;
+pub use framing::{DecodeError, MessageReader, read_message, write_message};
 pub use messages::{
     ControllerEndpoint, ControllerMessage, ControllerToGateway, GatewayToController, InspectionTopic,
     MAX_ADVERTISED_CONTROLLERS, MAX_ITEMS_PER_MESSAGE, Subscription,
