Keep the drain of a node that sources omit

A node that had announced to drain, and that healthy sources then omitted for ten heartbeat intervals, was removed from a gateway's directory together with the announcement. Such a record is kept as lost for the tombstone retention now, so that the announcement stays final.

--- a/crates/fernknot-registry/src/node_directory.rs
+++ b/crates/fernknot-registry/src/node_directory.rs
@@ -1,7 +1,7 @@
 //! A gateway's directory of nodes, as reported by its sources.
 
 use crate::address_index::AddressIndex;
-use crate::node_record::NodeRecord;
+use crate::node_record::{NodeRecord, NodeState};
 use crate::tracked_record::TrackedRecord;
 use fernknot::interface::Nanos;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -143,7 +143,8 @@
     }
 
     /// Removes incarnations that healthy sources have omitted for ten heartbeat intervals, and those whose tombstone
-    /// retention has passed. Returns the number of the former.
+    /// retention has passed. Returns the number of the former. Those of them that announced to drain are kept as lost
+    /// for the tombstone retention, since an outdated source may still report them as ready.
     pub fn expire(&mut self, now: Nanos) -> usize {
         self.advance_clock(now);
         let max_missing_time = self.heartbeat_interval.times(REMOVED_AFTER_HEARTBEAT_INTERVALS);
@@ -154,7 +155,8 @@
         let retention = self.limits.tombstone_retention;
         let expired = self
             .ids_where(|entry| entry.tracked.down_since().is_some_and(|since| self.now - since > retention));
-        dropped.iter().chain(&expired).for_each(|id| self.remove(id));
+        dropped.iter().for_each(|id| self.drop_missing(id));
+        expired.iter().for_each(|id| self.remove(id));
         dropped.len()
     }
 
@@ -279,6 +281,19 @@
         self.addresses.release(record.addr, id);
     }
 
+    fn drop_missing(&mut self, id: &str) {
+        let now = self.now;
+        match self.entries.get_mut(id) {
+            Some(entry) if entry.record().state == NodeState::Draining => {
+                entry.tracked.mark_lost(now);
+                let NodeRecord { service, addr, .. } = entry.record().clone();
+                self.addresses.release(addr, id);
+                self.changed_services.insert(service);
+            }
+            _ => self.remove(id),
+        }
+    }
+
     fn ids_where(&self, is_wanted: impl Fn(&DirectoryEntry) -> bool) -> Vec<String> {
         let wanted = self.entries.iter().filter(|(_, entry)| is_wanted(entry));
         wanted.map(|(id, _)| id.clone()).collect()
