Bound requests by the default limits until a configuration is held

A gateway without a configuration answered a body between 64 KiB and the 262,144 bytes of the default limits with 413, a final no, although the request is proper and the answer without a configuration is 503 with Retry-After. The limits of the router in service were in force until the first configuration.

--- a/crates/fernknot-gateway/src/routing.rs
+++ b/crates/fernknot-gateway/src/routing.rs
@@ -61,7 +61,8 @@
         memory_mb: f64,
         rng_seed: u64,
     ) -> Result<Routing, GatewayError> {
-        let http_limits = Limits::new(max_connections, memory_mb, &unused_socket_settings(settings))?;
+        let mut http_limits = Limits::new(max_connections, memory_mb, &unused_socket_settings(settings))?;
+        set_client_limits(&mut http_limits, &ClientLimits::default());
         Ok(Routing {
             config: None,
             ids: EngineIds::default(),
@@ -116,8 +117,7 @@
         let longest_deadline_ms = config.routes.iter().map(|route| route.deadline_ms).max().unwrap_or(0);
         let retention_ms =
             longest_deadline_ms as f64 * USE_CASE_RETENTION_DEADLINES + EXTRA_USE_CASE_RETENTION_MS;
-        self.http_limits.max_head_bytes = config.limits.header_bytes as usize;
-        self.http_limits.max_body_bytes = config.limits.body_bytes as usize;
+        set_client_limits(&mut self.http_limits, &config.limits);
         let change = self.ids.snapshot(now, revision, config, Nanos::from_millis(retention_ms));
         let SnapshotChange { snapshot, use_cases, released } = change;
         let snapshot = Rc::new(snapshot);
@@ -206,6 +206,12 @@
     pub(crate) released: Vec<UseCaseId>,
 }
 
+/// Sets the limits on the size of requests to those of a configuration.
+fn set_client_limits(http_limits: &mut Limits, client_limits: &ClientLimits) {
+    http_limits.max_head_bytes = client_limits.header_bytes as usize;
+    http_limits.max_body_bytes = client_limits.body_bytes as usize;
+}
+
 /// Returns socket settings that satisfy the constructor of [`Limits`]. A gateway uses only the size limits of HTTP
 /// messages, which do not depend on them.
 fn unused_socket_settings(settings: &GatewaySettings) -> SocketSettings {
