Limit heads by their bytes alone

The gateway now allows as many fields as fit into header_bytes. The parser makes room for as many fields as the head has lines, so that a common head costs less than before.

--- a/crates/fernknot-gateway/src/routing.rs
+++ b/crates/fernknot-gateway/src/routing.rs
@@ -16,6 +16,8 @@
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
+/// Size of the shortest header field: a name of one character, a colon and a line end.
+const MIN_FIELD_BYTES: usize = 4;
 /// Interval of the sweeps for unused identifiers, in multiples of `contact_ms`.
 const ID_SWEEP_INTERVAL_CONTACTS: f64 = 2.0;
 /// Maximum time for a complete request to arrive, in multiples of `header_ms`.
@@ -206,9 +208,11 @@
     pub(crate) released: Vec<UseCaseId>,
 }
 
-/// Sets the limits on the size of requests to those of a configuration.
+/// Sets the limits on the size of requests to those of a configuration. Only their bytes limit the number of header
+/// fields.
 fn set_client_limits(http_limits: &mut Limits, client_limits: &ClientLimits) {
     http_limits.max_head_bytes = client_limits.header_bytes as usize;
+    http_limits.max_headers = http_limits.max_head_bytes / MIN_FIELD_BYTES;
     http_limits.max_body_bytes = client_limits.body_bytes as usize;
 }
 
--- a/crates/fernknot-protocol/src/http/request.rs
+++ b/crates/fernknot-protocol/src/http/request.rs
@@ -84,7 +84,7 @@
 }
 
 fn read_head(buffer: &mut Buffer, limits: &Limits) -> Result<Option<(Request, BodyFraming)>, HttpError> {
-    let mut headers = vec![httparse::EMPTY_HEADER; limits.max_headers];
+    let mut headers = head::room_for_fields(buffer.data(), limits);
     let mut parsed = httparse::Request::new(&mut headers);
     let head_bytes = match parsed.parse(buffer.data()) {
         Ok(Status::Complete(bytes)) if bytes <= limits.max_head_bytes => bytes,
--- a/crates/fernknot-protocol/src/http/response_reader.rs
+++ b/crates/fernknot-protocol/src/http/response_reader.rs
@@ -89,7 +89,7 @@
 }
 
 fn read_head(buffer: &mut Buffer, limits: &Limits) -> Result<Option<(Response, BodyFraming)>, HttpError> {
-    let mut headers = vec![httparse::EMPTY_HEADER; limits.max_headers];
+    let mut headers = head::room_for_fields(buffer.data(), limits);
     let mut parsed = httparse::Response::new(&mut headers);
     let head_bytes = match parsed.parse(buffer.data()) {
         Ok(Status::Complete(bytes)) => bytes,
