--- a/crates/fernknot-gateway/src/data_plane.rs
+++ b/crates/fernknot-gateway/src/data_plane.rs
@@ -252,9 +252,9 @@
     }
 
     /// Returns the state that sources and subscribers of updates receive.
-    pub(crate) fn local_state(&self, is_synchronized: bool, is_ready: bool) -> LocalState<'_> {
+    pub(crate) fn local_state(&self, is_ready: bool) -> LocalState<'_> {
         let config = self.routing.config().map(|config| (config.revision, &config.config));
-        LocalState { nodes: self.nodes.directory(), config, is_synchronized, is_ready }
+        LocalState { nodes: self.nodes.directory(), config, is_ready }
     }
 
     /// Sets the number of gateways that share the retry budget; `None` while this one may use no share.
--- a/crates/fernknot-gateway/src/gateway.rs
+++ b/crates/fernknot-gateway/src/gateway.rs
@@ -41,8 +41,8 @@
     listeners: ListenerIds,
     data_plane: DataPlane,
     update_relay: UpdateRelay,
-    /// Whether a source of updates (a controller, or a gateway that forwards its updates) has sent all node records of
-    /// a subscription since the start.
+    /// Whether this gateway has had, since its start, a configuration and complete snapshots of the nodes of all its
+    /// services. A service that a later configuration adds does not make it unready.
     is_synchronized: bool,
     discovery: Discovery,
     shutdown: Shutdown,
@@ -274,12 +274,12 @@
     // ---- Updates ---------------------------------------------------------------------------
 
     fn poll_update_relay<N: Network>(&mut self, now: Nanos, network: &mut N) {
-        let state = self.data_plane.local_state(self.is_synchronized, self.is_ready());
+        let state = self.data_plane.local_state(self.is_ready());
         self.update_relay.poll(now, network, &state);
     }
 
     fn read_updates<N: Network>(&mut self, now: Nanos, id: ConnectionId, network: &mut N) {
-        let state = self.data_plane.local_state(self.is_synchronized, self.is_ready());
+        let state = self.data_plane.local_state(self.is_ready());
         let mut updates = Vec::new();
         let token = self.update_relay.fencing_token();
         self.update_relay.read(now, id, network, &state, &mut updates);
@@ -289,6 +289,8 @@
         for update in updates {
             self.apply_update(now, update, network);
         }
+        let has_config = self.data_plane.routing.config().is_some();
+        self.is_synchronized |= has_config && self.update_relay.has_all_snapshots();
     }
 
     fn apply_update<N: Network>(&mut self, now: Nanos, update: Update, network: &mut N) {
@@ -301,9 +303,6 @@
             }
             Update::SnapshotComplete { watermark, subscription } => {
                 self.data_plane.nodes.finish_snapshot(watermark, &subscription);
-                if !std::mem::replace(&mut self.is_synchronized, true) {
-                    self.update_relay.forward_snapshot_complete(network);
-                }
             }
             Update::SourceHealthy => {
                 self.data_plane.nodes.record_source_heartbeat(now);
--- a/crates/fernknot-gateway/src/updates/mod.rs
+++ b/crates/fernknot-gateway/src/updates/mod.rs
@@ -5,6 +5,7 @@
 mod message_readers;
 mod ownership;
 mod relay;
+mod snapshots;
 mod sources;
 mod state;
 mod subscribers;
--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -3,6 +3,7 @@
 use super::controllers::KnownControllers;
 use super::message_readers::MessageReaders;
 use super::ownership::Ownership;
+use super::snapshots::Snapshots;
 use super::sources::{Source, SourceStream, SourceStreams};
 use super::state::{LocalState, Update};
 use super::subscribers::{Subscribers, select, send};
@@ -46,6 +47,10 @@
     controllers: KnownControllers,
     /// Services in the configuration in force.
     services: BTreeSet<String>,
+    /// Services of whose nodes this gateway has a complete snapshot.
+    snapshots: Snapshots,
+    /// Whether something has changed that subscribers may wait for to receive the end of their snapshot.
+    checks_snapshots: bool,
     /// Identifier of the controller whose heartbeat was the last to arrive with a lease; 0 before the first one.
     last_heartbeat_from: u64,
 }
@@ -80,6 +85,8 @@
             next_heartbeat_at: Nanos(0),
             controllers: KnownControllers::default(),
             services: BTreeSet::new(),
+            snapshots: Snapshots::default(),
+            checks_snapshots: false,
             last_heartbeat_from: 0,
         };
         relay.add_controllers(seeds);
@@ -96,6 +103,20 @@
     pub(crate) fn set_services(&mut self, config: &RoutingConfig) {
         self.relays.set_services(config.services.iter().map(|service| service.name.as_str()));
         self.services = config.services.iter().map(|service| service.name.clone()).collect();
+        self.checks_snapshots = true;
+        // The stream of a source that sends all services also sends those that are new.
+        if self
+            .sources
+            .iter()
+            .any(|(_, stream)| stream.is_complete && stream.subscription == Subscription::All)
+        {
+            self.snapshots.record_complete(&Subscription::All, &self.services);
+        }
+    }
+
+    /// Whether sources have sent all nodes of all services in the configuration in force.
+    pub(crate) fn has_all_snapshots(&self) -> bool {
+        self.snapshots.covers(&Subscription::All, &self.services)
     }
 
     /// Time since the last heartbeat with a lease (of a controller in contact with a majority, perhaps forwarded) from
@@ -180,6 +201,10 @@
                 }
             }
         }
+        if std::mem::take(&mut self.checks_snapshots) {
+            self.snapshots.retain(&self.services);
+            self.complete_snapshots(network);
+        }
         if now >= self.next_heartbeat_at {
             self.next_heartbeat_at = now + self.heartbeat_interval;
             self.send_heartbeats(now, network, state.is_ready);
@@ -214,7 +239,8 @@
             write_message(output, &self.subscribe_message(state, subscription.clone()));
         }
         let watermark = state.nodes.begin_snapshot();
-        self.sources.insert(id, SourceStream { source, subscription, carries_config, watermark });
+        let stream = SourceStream { source, subscription, carries_config, watermark, is_complete: false };
+        self.sources.insert(id, stream);
     }
 
     fn subscribe_message(&self, state: &LocalState<'_>, subscription: Subscription) -> GatewayToController {
@@ -300,7 +326,7 @@
         message: ControllerToGateway,
         updates: &mut Vec<Update>,
     ) {
-        let Some(stream) = self.sources.get(id) else { return };
+        let Some(stream) = self.sources.get_mut(id) else { return };
         let (source, watermark) = (stream.source, stream.watermark);
         self.relays.record_message(now, source.addr, source.kind);
         match message {
@@ -329,7 +355,10 @@
             }
             ControllerToGateway::NodeUpdates(records) => updates.push(Update::Nodes(records)),
             ControllerToGateway::SnapshotComplete => {
+                stream.is_complete = true;
                 let subscription = stream.subscription.clone();
+                self.snapshots.record_complete(&subscription, &self.services);
+                self.checks_snapshots = true;
                 updates.push(Update::SnapshotComplete { watermark, subscription });
             }
             ControllerToGateway::Assignment(assignment) => self.handle_assignment(now, assignment),
@@ -428,9 +457,7 @@
             send(network, id, &ControllerToGateway::Config { revision: current, config });
         }
         send(network, id, &ControllerToGateway::NodeUpdates(records));
-        if state.is_synchronized {
-            send(network, id, &ControllerToGateway::SnapshotComplete);
-        }
+        self.complete_snapshots(network);
     }
 
     // ---- Forwarding ------------------------------------------------------------------------
@@ -460,9 +487,12 @@
         self.subscribers.broadcast(network, &ControllerToGateway::Assignment(assignment));
     }
 
-    /// Notifies the subscribers that this gateway has a complete snapshot.
-    pub(crate) fn forward_snapshot_complete<N: Network>(&self, network: &mut N) {
-        self.subscribers.broadcast(network, &ControllerToGateway::SnapshotComplete);
+    /// Notifies the subscribers of whose nodes this gateway has a complete snapshot by now.
+    fn complete_snapshots<N: Network>(&mut self, network: &mut N) {
+        let (snapshots, services) = (&self.snapshots, &self.services);
+        for id in self.subscribers.take_complete(|subscription| snapshots.covers(subscription, services)) {
+            send(network, id, &ControllerToGateway::SnapshotComplete);
+        }
     }
 
     /// Forwards node records that have changed.
--- a/crates/fernknot-gateway/src/updates/sources.rs
+++ b/crates/fernknot-gateway/src/updates/sources.rs
@@ -22,6 +22,8 @@
     pub(super) carries_config: bool,
     /// Watermark of the node directory when this gateway subscribed; needed to complete the snapshot that follows.
     pub(super) watermark: u64,
+    /// Whether the source has sent all node records of the subscription.
+    pub(super) is_complete: bool,
 }
 
 /// All update streams, by connection and by source.
@@ -41,10 +43,6 @@
         self.streams.contains_key(&id)
     }
 
-    pub(super) fn get(&self, id: ConnectionId) -> Option<&SourceStream> {
-        self.streams.get(&id)
-    }
-
     pub(super) fn get_mut(&mut self, id: ConnectionId) -> Option<&mut SourceStream> {
         self.streams.get_mut(&id)
     }
--- a/crates/fernknot-gateway/src/updates/state.rs
+++ b/crates/fernknot-gateway/src/updates/state.rs
@@ -11,8 +11,6 @@
     pub(crate) nodes: &'a NodeDirectory,
     /// Revision and contents of the configuration in force.
     pub(crate) config: Option<(u64, &'a RoutingConfig)>,
-    /// Whether a source has sent all node records of a subscription since the start.
-    pub(crate) is_synchronized: bool,
     pub(crate) is_ready: bool,
 }
 
--- a/crates/fernknot-gateway/src/updates/subscribers.rs
+++ b/crates/fernknot-gateway/src/updates/subscribers.rs
@@ -16,6 +16,8 @@
 struct Subscriber {
     gateway: GatewayRecord,
     subscription: Subscription,
+    /// Whether it has not been notified yet that its snapshot is complete.
+    awaits_snapshot: bool,
     last_heartbeat_at: Nanos,
     /// Gateways that subscribe to it directly or indirectly, by its last report.
     descendants: Vec<GatewayRecord>,
@@ -52,10 +54,22 @@
         subscription: Subscription,
     ) {
         let descendants = Vec::new();
-        let subscriber = Subscriber { gateway, subscription, last_heartbeat_at: now, descendants };
+        let subscriber =
+            Subscriber { gateway, subscription, awaits_snapshot: true, last_heartbeat_at: now, descendants };
         self.subscribers.insert(id, subscriber);
     }
 
+    /// Takes the subscribers whose snapshot is complete by now, and that have not been taken before.
+    pub(super) fn take_complete(&mut self, is_complete: impl Fn(&Subscription) -> bool) -> Vec<ConnectionId> {
+        let awaiting = self.subscribers.iter_mut().filter(|(_, subscriber)| subscriber.awaits_snapshot);
+        let complete = awaiting.filter(|(_, subscriber)| is_complete(&subscriber.subscription));
+        let taken = complete.map(|(id, subscriber)| {
+            subscriber.awaits_snapshot = false;
+            *id
+        });
+        taken.collect()
+    }
+
     /// Removes a connection. Returns the address of the gateway that had subscribed over it.
     pub(super) fn remove(&mut self, id: ConnectionId) -> Option<SocketAddrV4> {
         self.unidentified.remove(&id);
