--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -12,7 +12,6 @@
 use fernknot_distribution::{Action, Relays, RelaysLimits, SourceHeartbeat, Topic};
 use fernknot_net::{ConnectionId, Network};
 use fernknot_ownership::{Assignment, FencingToken, GatewayRecord, OwnedKeysSettings};
-use fernknot_registry::NodeRecord;
 use fernknot_rpc::{
     ControllerEndpoint, ControllerToGateway, GatewayToController, InspectionTopic, Subscription,
     write_message,
@@ -22,6 +21,8 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
+mod forwarding;
+
 /// Maximum size of a message, in bytes. A configuration of the largest size that operators may send fits.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
 /// Maximum size of a message of a subscriber, in bytes. The longest is a subscription by the names of all services.
@@ -203,7 +204,7 @@
         }
         if std::mem::take(&mut self.checks_snapshots) {
             self.snapshots.retain(&self.services);
-            self.complete_snapshots(network);
+            self.complete_snapshots(now, network);
         }
         if now >= self.next_heartbeat_at {
             self.next_heartbeat_at = now + self.heartbeat_interval;
@@ -382,6 +383,7 @@
             return;
         }
         self.last_heartbeat_from = sender;
+        self.checks_snapshots = true;
         self.ownership.confirm(now, heartbeat.fencing_token);
         if !controllers.is_empty() {
             self.controllers.replace(controllers);
@@ -457,47 +459,7 @@
             send(network, id, &ControllerToGateway::Config { revision: current, config });
         }
         send(network, id, &ControllerToGateway::NodeUpdates(records));
-        self.complete_snapshots(network);
-    }
-
-    // ---- Forwarding ------------------------------------------------------------------------
-
-    fn heartbeat_message(&self, heartbeat: SourceHeartbeat) -> ControllerToGateway {
-        ControllerToGateway::Heartbeat {
-            sender: self.last_heartbeat_from,
-            revision: heartbeat.revision,
-            holds_lease: heartbeat.has_lease,
-            hops: heartbeat.hops,
-            fencing_token: heartbeat.fencing_token.0,
-            controllers: self.controllers.reported(),
-        }
-    }
-
-    /// Forwards a configuration that has just been applied.
-    pub(crate) fn forward_config<N: Network>(&self, network: &mut N, revision: u64, config: &RoutingConfig) {
-        if !self.subscribers.is_empty() {
-            let config = config.clone();
-            self.subscribers.broadcast(network, &ControllerToGateway::Config { revision, config });
-        }
-    }
-
-    /// Forwards the newest assignment.
-    pub(crate) fn forward_assignment<N: Network>(&self, network: &mut N) {
-        let assignment = self.ownership.assignment().clone();
-        self.subscribers.broadcast(network, &ControllerToGateway::Assignment(assignment));
-    }
-
-    /// Notifies the subscribers of whose nodes this gateway has a complete snapshot by now.
-    fn complete_snapshots<N: Network>(&mut self, network: &mut N) {
-        let (snapshots, services) = (&self.snapshots, &self.services);
-        for id in self.subscribers.take_complete(|subscription| snapshots.covers(subscription, services)) {
-            send(network, id, &ControllerToGateway::SnapshotComplete);
-        }
-    }
-
-    /// Forwards node records that have changed.
-    pub(crate) fn forward_nodes<N: Network>(&self, network: &mut N, records: &[NodeRecord]) {
-        self.subscribers.forward_nodes(network, records, &self.services);
+        self.complete_snapshots(now, network);
     }
 
     // ---- Inspection ------------------------------------------------------------------------
--- a/crates/fernknot-gateway/tests/scenarios/relayed_updates.rs
+++ b/crates/fernknot-gateway/tests/scenarios/relayed_updates.rs
@@ -122,6 +122,10 @@
 fn given_a_relay_without_a_complete_snapshot_when_a_gateway_subscribes_then_it_is_told_once_the_snapshot_is_complete()
  {
     let (mut scenario, relays) = start_with_relays();
+    let heartbeat = scenario.heartbeat();
+    for (source, _) in &relays {
+        scenario.send_update_from(*source, &heartbeat);
+    }
     complete_snapshot(&mut scenario, relays[0].0);
     let complete = scenario.connect_subscriber(relays[0].1.clone());
     assert!(is_complete(&scenario.take_updates(complete)));
