--- a/crates/fernknot-gateway/src/gateway.rs
+++ b/crates/fernknot-gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 //! network that the host, the program that drives it, passes in.
 
 use crate::clients::LocalReply;
-use crate::counters::{CurrentValues, counters_text};
+use crate::counters::{CurrentValues, ServingState, counters_text};
 use crate::data_plane::DataPlane;
 use crate::discovery::Discovery;
 use crate::error::GatewayError;
@@ -41,8 +41,8 @@
     listeners: ListenerIds,
     data_plane: DataPlane,
     update_relay: UpdateRelay,
-    /// Whether a source of updates (a controller, or a gateway that forwards its updates) has sent all node records of
-    /// a subscription since the start.
+    /// Whether this gateway has had, since its start, a configuration and complete snapshots of the nodes of all its
+    /// services. A service that a later configuration adds does not make it unready.
     is_synchronized: bool,
     discovery: Discovery,
     shutdown: Shutdown,
@@ -89,6 +89,7 @@
             log::warn!(target: component::PROCESS, "event loop stalled for {:.0} ms; restarting time-outs", gap.as_millis());
             self.update_relay.resume_after_stall(now);
         }
+        self.data_plane.serving_state = self.serving_state(now);
         for event in events {
             self.handle_event(now, event, network);
         }
@@ -161,6 +162,12 @@
         !self.shutdown.is_requested() && has_config && self.is_synchronized
     }
 
+    fn serving_state(&self, now: Nanos) -> ServingState {
+        let config_age = self.update_relay.config_age(now);
+        let is_config_confirmed = config_age.is_some_and(|age| age <= self.settings.apply_timeout);
+        ServingState { is_ready: self.is_ready(), is_config_confirmed }
+    }
+
     // ---- Events ----------------------------------------------------------------------------
 
     fn handle_event<N: Network>(&mut self, now: Nanos, event: Event, network: &mut N) {
@@ -250,6 +257,7 @@
     fn counters_text(&self, now: Nanos) -> String {
         let DataPlane { attempts, nodes, routing, counters, .. } = &self.data_plane;
         let config_age = self.update_relay.config_age(now);
+        let (topics_without_lease, oldest_topic_lease) = self.update_relay.topic_lease_ages(now);
         let current_values = CurrentValues {
             requests_in_flight: attempts.requests().len(),
             node_connections: attempts.connections().len(),
@@ -260,6 +268,8 @@
             announced_revision: self.update_relay.confirmation().announced_revision,
             update_streams_started: self.update_relay.streams_started(),
             is_config_stale: config_age.is_none_or(|age| age > self.settings.drain_cutoff),
+            topics_without_lease,
+            oldest_topic_lease,
         };
         counters_text(counters, attempts.counters(), &current_values) + &attempts.decisions().counters_text()
     }
@@ -267,12 +277,12 @@
     // ---- Updates ---------------------------------------------------------------------------
 
     fn poll_update_relay<N: Network>(&mut self, now: Nanos, network: &mut N) {
-        let state = self.data_plane.local_state(self.is_synchronized, self.is_ready());
+        let state = self.data_plane.local_state(self.is_ready());
         self.update_relay.poll(now, network, &state);
     }
 
     fn read_updates<N: Network>(&mut self, now: Nanos, id: ConnectionId, network: &mut N) {
-        let state = self.data_plane.local_state(self.is_synchronized, self.is_ready());
+        let state = self.data_plane.local_state(self.is_ready());
         let mut updates = Vec::new();
         let token = self.update_relay.fencing_token();
         self.update_relay.read(now, id, network, &state, &mut updates);
@@ -283,6 +293,8 @@
         for update in updates {
             self.apply_update(now, update, network);
         }
+        let has_config = self.data_plane.routing.config().is_some();
+        self.is_synchronized |= has_config && self.update_relay.has_all_snapshots();
     }
 
     fn apply_update<N: Network>(&mut self, now: Nanos, update: Update, network: &mut N) {
@@ -295,9 +307,6 @@
             }
             Update::SnapshotComplete { watermark, subscription } => {
                 self.data_plane.nodes.finish_snapshot(watermark, &subscription);
-                if !std::mem::replace(&mut self.is_synchronized, true) {
-                    self.update_relay.forward_snapshot_complete(network);
-                }
             }
             Update::SourceHealthy => {
                 self.data_plane.nodes.record_source_heartbeat(now);
--- a/crates/fernknot-gateway/src/routing.rs
+++ b/crates/fernknot-gateway/src/routing.rs
@@ -17,6 +17,8 @@
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
+/// Size of the shortest header field: a name of one character, a colon and a line end.
+const MIN_FIELD_BYTES: usize = 4;
 /// Interval of the sweeps for unused identifiers, in multiples of `contact_ms`.
 const ID_SWEEP_INTERVAL_CONTACTS: f64 = 2.0;
 /// Maximum time for a complete request to arrive, in multiples of `header_ms`.
@@ -63,7 +65,8 @@
         memory_mb: f64,
         rng_seed: u64,
     ) -> Result<Routing, GatewayError> {
-        let http_limits = Limits::new(max_connections, memory_mb, &unused_socket_settings(settings))?;
+        let mut http_limits = Limits::new(max_connections, memory_mb, &unused_socket_settings(settings))?;
+        set_client_limits(&mut http_limits, &ClientLimits::default());
         Ok(Routing {
             config: None,
             confirmation: Confirmation::default(),
@@ -119,8 +122,7 @@
         let longest_deadline_ms = config.routes.iter().map(|route| route.deadline_ms).max().unwrap_or(0);
         let retention_ms =
             longest_deadline_ms as f64 * USE_CASE_RETENTION_DEADLINES + EXTRA_USE_CASE_RETENTION_MS;
-        self.http_limits.max_head_bytes = config.limits.header_bytes as usize;
-        self.http_limits.max_body_bytes = config.limits.body_bytes as usize;
+        set_client_limits(&mut self.http_limits, &config.limits);
         let change = self.ids.snapshot(now, revision, config, Nanos::from_millis(retention_ms));
         let SnapshotChange { snapshot, use_cases, released } = change;
         let snapshot = Rc::new(snapshot);
@@ -222,6 +224,14 @@
     pub(crate) released: Vec<UseCaseId>,
 }
 
+/// Sets the limits on the size of requests to those of a configuration. Only their bytes limit the number of header
+/// fields.
+fn set_client_limits(http_limits: &mut Limits, client_limits: &ClientLimits) {
+    http_limits.max_head_bytes = client_limits.header_bytes as usize;
+    http_limits.max_headers = http_limits.max_head_bytes / MIN_FIELD_BYTES;
+    http_limits.max_body_bytes = client_limits.body_bytes as usize;
+}
+
 /// Returns socket settings that satisfy the constructor of [`Limits`]. A gateway uses only the size limits of HTTP
 /// messages, which do not depend on them.
 fn unused_socket_settings(settings: &GatewaySettings) -> SocketSettings {
--- a/crates/fernknot-gateway/src/updates/mod.rs
+++ b/crates/fernknot-gateway/src/updates/mod.rs
@@ -4,11 +4,14 @@
 mod config_source;
 mod confirmation;
 mod controllers;
+mod message_readers;
 mod ownership;
 mod relay;
+mod snapshots;
 mod sources;
 mod state;
 mod subscribers;
+mod topics;
 
 pub(crate) use confirmation::Confirmation;
 pub(crate) use relay::UpdateRelay;
--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -3,26 +3,32 @@
 use super::config_source::ConfigSourceLog;
 use super::confirmation::Confirmation;
 use super::controllers::KnownControllers;
+use super::message_readers::MessageReaders;
 use super::ownership::Ownership;
-use super::sources::{Source, SourceStream, SourceStreams, subscription_to, topics_of};
+use super::snapshots::Snapshots;
+use super::sources::{Source, SourceStream, SourceStreams};
 use super::state::{LocalState, Update};
 use super::subscribers::{Subscribers, select, send};
+use super::topics::{subscription_to, topics_of};
 use fernknot::interface::Nanos;
 use fernknot_distribution::{Action, Relays, RelaysLimits, SourceHeartbeat, Topic};
 use fernknot_net::{ConnectionId, Network};
 use fernknot_ownership::{Assignment, FencingToken, GatewayRecord, OwnedKeysSettings};
-use fernknot_registry::NodeRecord;
 use fernknot_rpc::{
     ControllerEndpoint, ControllerToGateway, GatewayToController, InspectionTopic, Subscription,
-    read_message, write_message,
+    write_message,
 };
 use fernknot_schema::RoutingConfig;
 use fernknot_telemetry::component;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
+mod forwarding;
+
 /// Maximum size of a message, in bytes. A configuration of the largest size that operators may send fits.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
+/// Maximum size of a message of a subscriber, in bytes. The longest is a subscription by the names of all services.
+const MAX_SUBSCRIBER_MESSAGE_BYTES: usize = 1 << 20;
 /// Interval of this gateway's own heartbeats, in intervals of its sources' heartbeats.
 const HEARTBEAT_INTERVALS: f64 = 2.0;
 /// Time without heartbeats after which a subscriber is not reported as live, in intervals of this gateway's heartbeats.
@@ -37,12 +43,17 @@
     relays: Relays,
     sources: SourceStreams,
     subscribers: Subscribers,
+    readers: MessageReaders,
     ownership: Ownership,
     heartbeat_interval: Nanos,
     next_heartbeat_at: Nanos,
     controllers: KnownControllers,
     /// Services in the configuration in force.
     services: BTreeSet<String>,
+    /// Services of whose nodes this gateway has a complete snapshot.
+    snapshots: Snapshots,
+    /// Whether something has changed that subscribers may wait for to receive the end of their snapshot.
+    checks_snapshots: bool,
     /// Identifier of the controller whose heartbeat was the last to arrive with a lease; 0 before the first one.
     last_heartbeat_from: u64,
     config_source_log: ConfigSourceLog,
@@ -82,10 +93,13 @@
             this_gateway,
             sources: SourceStreams::default(),
             subscribers: Subscribers::default(),
+            readers: MessageReaders::default(),
             heartbeat_interval: Relays::heartbeat_interval(apply_timeout).times(HEARTBEAT_INTERVALS),
             next_heartbeat_at: Nanos(0),
             controllers: KnownControllers::default(),
             services: BTreeSet::new(),
+            snapshots: Snapshots::default(),
+            checks_snapshots: false,
             last_heartbeat_from: 0,
             config_source_log: ConfigSourceLog::default(),
         };
@@ -103,6 +117,20 @@
     pub(crate) fn set_services(&mut self, config: &RoutingConfig) {
         self.relays.set_services(config.services.iter().map(|service| service.name.as_str()));
         self.services = config.services.iter().map(|service| service.name.clone()).collect();
+        self.checks_snapshots = true;
+        // The stream of a source that sends all services also sends those that are new.
+        if self
+            .sources
+            .iter()
+            .any(|(_, stream)| stream.is_complete && stream.subscription == Subscription::All)
+        {
+            self.snapshots.record_complete(&Subscription::All, &self.services);
+        }
+    }
+
+    /// Whether sources have sent all nodes of all services in the configuration in force.
+    pub(crate) fn has_all_snapshots(&self) -> bool {
+        self.snapshots.covers(&Subscription::All, &self.services)
     }
 
     /// Time since the last heartbeat with a lease (of a controller in contact with a majority, perhaps forwarded) from
@@ -124,6 +152,16 @@
         self.sources.started()
     }
 
+    /// Returns the number of topics without a current source that has sent a heartbeat with a lease, and the greatest
+    /// time since the last such heartbeat for any other topic.
+    pub(crate) fn topic_lease_ages(&self, now: Nanos) -> (usize, Nanos) {
+        let topics = self.services.iter().map(|name| Topic::service(name)).chain([Topic::Configuration]);
+        let ages: Vec<Option<Nanos>> =
+            topics.map(|topic| self.relays.time_since_lease(now, &topic)).collect();
+        let without_lease = ages.iter().filter(|age| age.is_none()).count();
+        (without_lease, ages.into_iter().flatten().max().unwrap_or(Nanos(0)))
+    }
+
     /// Restarts the time-outs of sources after a stall of the event loop: messages that were not received during the
     /// stall prove no fault of the sources.
     pub(crate) fn resume_after_stall(&mut self, now: Nanos) {
@@ -159,6 +197,7 @@
 
     /// Handles the end of a connection: removes its subscriber, or reports its source as lost.
     pub(crate) fn connection_closed(&mut self, now: Nanos, id: ConnectionId) {
+        self.readers.remove(id);
         if let Some(addr) = self.subscribers.remove(id) {
             self.relays.subscribe(addr, []);
         }
@@ -178,13 +217,21 @@
                 Action::Subscribe { addr, kind, topics } => {
                     self.subscribe(now, network, state, Source { kind, addr }, &topics);
                 }
-                Action::Unsubscribe { addr, kind } => self.sources.close(Source { kind, addr }, network),
+                Action::Unsubscribe { addr, kind } => {
+                    if let Some(id) = self.sources.close(Source { kind, addr }, network) {
+                        self.readers.remove(id);
+                    }
+                }
                 Action::ForwardHeartbeat { to, heartbeat } => {
                     let message = self.heartbeat_message(heartbeat);
                     self.subscribers.multicast(network, &to, &message);
                 }
             }
         }
+        if std::mem::take(&mut self.checks_snapshots) {
+            self.snapshots.retain(&self.services);
+            self.complete_snapshots(now, network);
+        }
         if now >= self.next_heartbeat_at {
             self.next_heartbeat_at = now + self.heartbeat_interval;
             self.send_heartbeats(now, network, state.is_ready);
@@ -200,7 +247,7 @@
         topics: &[Topic],
     ) {
         let carries_config = topics.contains(&Topic::Configuration);
-        let subscription = subscription_to(topics, self.services.len());
+        let subscription = subscription_to(topics, &self.services);
         let known = self.sources.connection_of(source);
         if let Some(stream) = known.and_then(|id| self.sources.get_mut(id))
             && stream.subscription == subscription
@@ -219,7 +266,8 @@
             write_message(output, &self.subscribe_message(state, subscription.clone()));
         }
         let watermark = state.nodes.begin_snapshot();
-        self.sources.insert(id, SourceStream { source, subscription, carries_config, watermark });
+        let stream = SourceStream { source, subscription, carries_config, watermark, is_complete: false };
+        self.sources.insert(id, stream);
     }
 
     fn subscribe_message(&self, state: &LocalState<'_>, subscription: Subscription) -> GatewayToController {
@@ -273,12 +321,13 @@
         loop {
             let Some(input) = network.input(id) else { return };
             let read = if self.sources.contains(id) {
-                let message = read_message::<ControllerToGateway>(input, MAX_MESSAGE_BYTES);
+                let message = self.readers.read::<ControllerToGateway>(id, input, MAX_MESSAGE_BYTES);
                 message.map(|message| {
                     message.map(|message| self.handle_source_message(now, id, message, updates))
                 })
             } else {
-                let message = read_message::<GatewayToController>(input, MAX_MESSAGE_BYTES);
+                let message =
+                    self.readers.read::<GatewayToController>(id, input, MAX_SUBSCRIBER_MESSAGE_BYTES);
                 message.map(|message| {
                     message.map(|message| {
                         self.handle_subscriber_message(now, id, message, network, state, updates);
@@ -304,7 +353,7 @@
         message: ControllerToGateway,
         updates: &mut Vec<Update>,
     ) {
-        let Some(stream) = self.sources.get(id) else { return };
+        let Some(stream) = self.sources.get_mut(id) else { return };
         let (source, watermark) = (stream.source, stream.watermark);
         self.relays.record_message(now, source.addr, source.kind);
         match message {
@@ -337,7 +386,10 @@
             }
             ControllerToGateway::NodeUpdates(records) => updates.push(Update::Nodes(records)),
             ControllerToGateway::SnapshotComplete => {
+                stream.is_complete = true;
                 let subscription = stream.subscription.clone();
+                self.snapshots.record_complete(&subscription, &self.services);
+                self.checks_snapshots = true;
                 updates.push(Update::SnapshotComplete { watermark, subscription });
             }
             ControllerToGateway::Assignment(assignment) => self.handle_assignment(now, assignment),
@@ -361,6 +413,7 @@
             return;
         }
         self.last_heartbeat_from = sender;
+        self.checks_snapshots = true;
         self.ownership.confirm(now, heartbeat.fencing_token);
         if !controllers.is_empty() {
             self.controllers.replace(controllers);
@@ -436,46 +489,7 @@
             send(network, id, &ControllerToGateway::Config { revision: current, config });
         }
         send(network, id, &ControllerToGateway::NodeUpdates(records));
-        if state.is_synchronized {
-            send(network, id, &ControllerToGateway::SnapshotComplete);
-        }
-    }
-
-    // ---- Forwarding ------------------------------------------------------------------------
-
-    fn heartbeat_message(&self, heartbeat: SourceHeartbeat) -> ControllerToGateway {
-        ControllerToGateway::Heartbeat {
-            sender: self.last_heartbeat_from,
-            revision: heartbeat.revision,
-            holds_lease: heartbeat.has_lease,
-            hops: heartbeat.hops,
-            fencing_token: heartbeat.fencing_token.0,
-            controllers: self.controllers.reported(),
-        }
-    }
-
-    /// Forwards a configuration that has just been applied.
-    pub(crate) fn forward_config<N: Network>(&self, network: &mut N, revision: u64, config: &RoutingConfig) {
-        if !self.subscribers.is_empty() {
-            let config = config.clone();
-            self.subscribers.broadcast(network, &ControllerToGateway::Config { revision, config });
-        }
-    }
-
-    /// Forwards the newest assignment.
-    pub(crate) fn forward_assignment<N: Network>(&self, network: &mut N) {
-        let assignment = self.ownership.assignment().clone();
-        self.subscribers.broadcast(network, &ControllerToGateway::Assignment(assignment));
-    }
-
-    /// Notifies the subscribers that this gateway has a complete snapshot.
-    pub(crate) fn forward_snapshot_complete<N: Network>(&self, network: &mut N) {
-        self.subscribers.broadcast(network, &ControllerToGateway::SnapshotComplete);
-    }
-
-    /// Forwards node records that have changed.
-    pub(crate) fn forward_nodes<N: Network>(&self, network: &mut N, records: &[NodeRecord]) {
-        self.subscribers.forward_nodes(network, records, &self.services);
+        self.complete_snapshots(now, network);
     }
 
     // ---- Inspection ------------------------------------------------------------------------
--- a/crates/fernknot-gateway/src/updates/sources.rs
+++ b/crates/fernknot-gateway/src/updates/sources.rs
@@ -1,9 +1,9 @@
 //! Update streams that this gateway has subscribed to.
 
-use fernknot_distribution::{SourceKind, Topic};
+use fernknot_distribution::SourceKind;
 use fernknot_net::{ConnectionId, Network};
 use fernknot_rpc::Subscription;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
 /// A process that this gateway receives updates from.
@@ -22,6 +22,8 @@
     pub(super) carries_config: bool,
     /// Watermark of the node directory when this gateway subscribed; needed to complete the snapshot that follows.
     pub(super) watermark: u64,
+    /// Whether the source has sent all node records of the subscription.
+    pub(super) is_complete: bool,
 }
 
 /// All update streams, by connection and by source.
@@ -48,10 +50,6 @@
         self.streams.contains_key(&id)
     }
 
-    pub(super) fn get(&self, id: ConnectionId) -> Option<&SourceStream> {
-        self.streams.get(&id)
-    }
-
     pub(super) fn get_mut(&mut self, id: ConnectionId) -> Option<&mut SourceStream> {
         self.streams.get_mut(&id)
     }
@@ -64,12 +62,12 @@
         self.streams.iter().map(|(id, stream)| (*id, stream))
     }
 
-    /// Closes the stream from a source.
-    pub(super) fn close<N: Network>(&mut self, source: Source, network: &mut N) {
-        if let Some(id) = self.by_source.remove(&source) {
-            self.streams.remove(&id);
-            network.close(id);
-        }
+    /// Closes the stream from a source. Returns its connection.
+    pub(super) fn close<N: Network>(&mut self, source: Source, network: &mut N) -> Option<ConnectionId> {
+        let id = self.by_source.remove(&source)?;
+        self.streams.remove(&id);
+        network.close(id);
+        Some(id)
     }
 
     /// Removes a stream whose connection is closed.
@@ -88,26 +86,3 @@
         self.streams.values().map(line).collect()
     }
 }
-
-/// Returns the subscription to these topics of a gateway whose configuration names `service_count` services.
-pub(super) fn subscription_to(topics: &[Topic], service_count: usize) -> Subscription {
-    let service = |topic: &Topic| match topic {
-        Topic::Configuration => None,
-        Topic::Service(name) => Some(name.to_string()),
-    };
-    let names: Vec<String> = topics.iter().filter_map(service).collect();
-    match names.len() >= service_count {
-        true => Subscription::All,
-        false => Subscription::Services(names),
-    }
-}
-
-/// Returns the topics of a subscription; `services` are those in the configuration in force.
-pub(super) fn topics_of(subscription: &Subscription, services: &BTreeSet<String>) -> Vec<Topic> {
-    let mut topics: Vec<Topic> = match subscription {
-        Subscription::All => services.iter().map(|name| Topic::service(name)).collect(),
-        Subscription::Services(names) => names.iter().map(|name| Topic::service(name)).collect(),
-    };
-    topics.push(Topic::Configuration);
-    topics
-}
