--- a/crates/fernknot-gateway/tests/scenarios/mod.rs
+++ b/crates/fernknot-gateway/tests/scenarios/mod.rs
@@ -6,10 +6,15 @@
 use fernknot_net::{ConnectionId, Event, NetError};
 use fernknot_ownership::Assignment;
 use fernknot_registry::{NodeRecord, NodeState};
-use fernknot_rpc::{ControllerEndpoint, ControllerToGateway, write_message};
-use fernknot_schema::{ClientLimits, Route, RouteTarget, RoutingConfig, Service, TrafficClass};
+use fernknot_rpc::{
+    ControllerEndpoint, ControllerToGateway, GatewayToController, read_message, write_message,
+};
+use fernknot_schema::{
+    AccessControl, ClientLimits, Route, RouteTarget, RoutingConfig, Service, TrafficClass,
+};
 use fernknot_simulator::ports::{PortAction, SimulatedPorts};
 
+mod api_keys;
 mod attempts;
 mod identifiers;
 mod idle_connections;
@@ -59,6 +64,15 @@
 impl Scenario {
     /// Starts a gateway that has this configuration and knows the node.
     pub fn start(memory_mb: u64, config: RoutingConfig) -> Scenario {
+        let mut scenario = Scenario::start_without_config(memory_mb);
+        scenario.apply_config(config);
+        scenario.send_update(&ControllerToGateway::SnapshotComplete);
+        scenario.send_heartbeat();
+        scenario
+    }
+
+    /// Starts a gateway that knows the node and has received no configuration.
+    pub fn start_without_config(memory_mb: u64) -> Scenario {
         let mut network = SimulatedPorts::default();
         let listeners =
             ListenerIds { front: network.new_id(), ready: network.new_id(), inner: network.new_id() };
@@ -78,9 +92,6 @@
         scenario.step(Vec::new());
         scenario.send_update(&ControllerToGateway::Assignment(Assignment::default()));
         scenario.send_update(&ControllerToGateway::NodeUpdates(vec![node_record("lone", NodeState::Ready)]));
-        scenario.apply_config(config);
-        scenario.send_update(&ControllerToGateway::SnapshotComplete);
-        scenario.send_heartbeat();
         scenario
     }
 
@@ -139,6 +150,16 @@
         });
     }
 
+    /// Sends the next revision of the configuration, with tenants, from the controller.
+    pub fn apply_config_with_access(&mut self, config: RoutingConfig, access: AccessControl) {
+        self.revision += 1;
+        self.send_update(&ControllerToGateway::ConfigWithAccessControl {
+            revision: self.revision,
+            config: RoutingConfig { epoch: self.revision, ..config },
+            access,
+        });
+    }
+
     /// Runs one step of the gateway with these events.
     pub fn step(&mut self, events: Vec<Event>) {
         self.gateway.step(self.now, events, &mut self.network);
@@ -173,6 +194,29 @@
         id
     }
 
+    /// Connects another process of the system to the inner address.
+    pub fn connect_process(&mut self) -> ConnectionId {
+        let id = self.network.new_id();
+        self.network.add_connection(id, true);
+        let peer = "10.1.0.30:999".parse().unwrap();
+        self.step(vec![Event::Accepted { connection: id, listener: self.listeners.inner, peer }]);
+        id
+    }
+
+    /// Delivers a message of another process, and returns the messages that the gateway has sent to it since the last
+    /// call.
+    pub fn exchange(&mut self, id: ConnectionId, message: &GatewayToController) -> Vec<ControllerToGateway> {
+        write_message(&mut self.network.connections.get_mut(&id).unwrap().input, message);
+        self.step(vec![Event::Received { connection: id }]);
+        self.take_updates(id)
+    }
+
+    /// Returns the updates that the gateway has sent to a subscriber since the last call.
+    pub fn take_updates(&mut self, id: ConnectionId) -> Vec<ControllerToGateway> {
+        let output = &mut self.network.connections.get_mut(&id).unwrap().output;
+        std::iter::from_fn(|| read_message(output, 16 << 20).unwrap()).collect()
+    }
+
     /// Connects to the address for readiness and counters, and sends a request.
     pub fn send_platform_request(&mut self, text: &str) -> ConnectionId {
         let id = self.network.new_id();
