Authenticate clients by tenants' keys, and forward the tenant in place of the key

Cause: gateways forwarded all end-to-end fields as they came. No part of the gateway knew tenants, so that `Authorization` and a client's own `Tenant` went along and no key was checked.

Where the configuration has tenants, a request's credentials and `Tenant` fields are now taken out of it before anything of it is kept, so that neither the head from which all attempts are written nor a later retry or hedge can have them. Without exactly one known key there is a 401 with `WWW-Authenticate: Bearer`, except on public routes, where a known key still sets `Tenant` and anything else sets none. The route is looked up first, so that a missing route stays 404, and before the first configuration the response stays 503. Configurations reach subscribers of a relay with their tenants.

The case of the retry had one node, to which no retry is sent, and has two now.

--- a/crates/fernknot-gateway/src/clients/rejection.rs
+++ b/crates/fernknot-gateway/src/clients/rejection.rs
@@ -24,6 +24,10 @@
     NoConfig,
     /// No route matches the request.
     NoRoute,
+    /// The route needs a key, and the request has none, or more than one, or other credentials.
+    MissingApiKey,
+    /// The request has a key that no tenant of the configuration has.
+    UnknownApiKey,
     /// `Attempt-Id` is missing or empty, is longer than 256 bytes, or contains other characters than printable ASCII
     /// without spaces.
     InvalidAttemptId,
@@ -53,6 +57,7 @@
         match self {
             Rejection::NoConfig | Rejection::TooManyPartialBodies => 503,
             Rejection::NoRoute => 404,
+            Rejection::MissingApiKey | Rejection::UnknownApiKey => 401,
             Rejection::InvalidAttemptId => 400,
             Rejection::Malformed(error) => error.status,
             Rejection::ReceiveTimeout => 408,
@@ -63,6 +68,8 @@
         match self {
             Rejection::NoConfig => b"no configuration yet\n",
             Rejection::NoRoute => b"no route\n",
+            Rejection::MissingApiKey => b"a key is needed\n",
+            Rejection::UnknownApiKey => b"unknown key\n",
             Rejection::InvalidAttemptId => b"Attempt-Id is missing or unfit\n",
             Rejection::Malformed(error) => error.reason.as_bytes(),
             Rejection::TooManyPartialBodies => b"too much is coming at once\n",
--- a/crates/fernknot-gateway/src/config_snapshot.rs
+++ b/crates/fernknot-gateway/src/config_snapshot.rs
@@ -1,8 +1,9 @@
 //! A revision of the routing configuration, with the identifiers (use cases) that the engine, `fernknot-engine`, has
 //! for its routes.
 
+use crate::access::AccessTable;
 use fernknot::interface::UseCaseId;
-use fernknot_schema::{Route, RouteTable, RouteTarget, RoutingConfig};
+use fernknot_schema::{AccessControl, Route, RouteTable, RouteTarget, RoutingConfig};
 
 /// Configuration revision that is in force, or that was when a request in flight was read.
 pub struct ConfigSnapshot {
@@ -11,6 +12,8 @@
     /// Contents of the revision.
     pub config: RoutingConfig,
     table: RouteTable,
+    /// Tenants and their keys; `None` if no request needs a key.
+    access: Option<AccessTable>,
     /// Use case of each route in the engine.
     use_cases: Vec<UseCaseId>,
 }
@@ -19,7 +22,18 @@
     /// Creates a snapshot. `use_cases` has one entry for each route of the configuration.
     pub(crate) fn new(revision: u64, config: RoutingConfig, use_cases: Vec<UseCaseId>) -> ConfigSnapshot {
         let table = RouteTable::new(&config);
-        ConfigSnapshot { revision, config, table, use_cases }
+        ConfigSnapshot { revision, config, table, access: None, use_cases }
+    }
+
+    /// Adds the tenants of the revision, whose keys requests need from then on.
+    pub(crate) fn with_access(mut self, access: Option<AccessControl>) -> ConfigSnapshot {
+        self.access = access.map(AccessTable::new);
+        self
+    }
+
+    /// Returns the tenants and their keys; `None` if no request needs a key.
+    pub(crate) fn access(&self) -> Option<&AccessTable> {
+        self.access.as_ref()
     }
 
     /// Returns the index of the route that matches a request.
--- a/crates/fernknot-gateway/src/counters.rs
+++ b/crates/fernknot-gateway/src/counters.rs
@@ -9,6 +9,8 @@
     pub(crate) requests: u64,
     unrouted: u64,
     without_config: u64,
+    without_api_key: u64,
+    unknown_api_key: u64,
     malformed: u64,
     overloaded: u64,
 }
@@ -18,6 +20,8 @@
         let counter = match rejection {
             Rejection::NoConfig => &mut self.without_config,
             Rejection::NoRoute => &mut self.unrouted,
+            Rejection::MissingApiKey => &mut self.without_api_key,
+            Rejection::UnknownApiKey => &mut self.unknown_api_key,
             Rejection::InvalidAttemptId | Rejection::Malformed(_) => &mut self.malformed,
             Rejection::TooManyPartialBodies => &mut self.overloaded,
             Rejection::ReceiveTimeout => return,
@@ -62,6 +66,8 @@
         ("requests", clients.requests),
         ("unrouted", clients.unrouted),
         ("without_config", clients.without_config),
+        ("without_api_key", clients.without_api_key),
+        ("unknown_api_key", clients.unknown_api_key),
         ("malformed", clients.malformed),
         ("overloaded", clients.overloaded),
         ("mismatched_responses", nodes.mismatched_responses),
--- a/crates/fernknot-gateway/src/data_plane.rs
+++ b/crates/fernknot-gateway/src/data_plane.rs
@@ -18,7 +18,7 @@
 use fernknot_engine::{Action, RequesterId, Verdict};
 use fernknot_net::{ConnectionId, Network};
 use fernknot_protocol::http::Request;
-use fernknot_schema::{ProcessSettings, RoutingConfig};
+use fernknot_schema::{ProcessSettings, SystemConfig};
 use fernknot_telemetry::component;
 use std::rc::Rc;
 
@@ -212,7 +212,7 @@
         &mut self,
         now: Nanos,
         revision: u64,
-        config: RoutingConfig,
+        config: SystemConfig,
     ) -> Option<Rc<ConfigSnapshot>> {
         let (snapshot, change) = self.routing.apply(now, revision, config)?;
         let (epoch, routes) = (snapshot.config.epoch, snapshot.config.routes.len());
@@ -249,7 +249,7 @@
 
     /// Returns the state that sources and subscribers of updates receive.
     pub(crate) fn local_state(&self, is_synchronized: bool, is_ready: bool) -> LocalState<'_> {
-        let config = self.routing.config().map(|config| (config.revision, &config.config));
+        let config = self.routing.config().map(Rc::as_ref);
         LocalState { nodes: self.nodes.directory(), config, is_synchronized, is_ready }
     }
 
--- a/crates/fernknot-gateway/src/gateway.rs
+++ b/crates/fernknot-gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use fernknot_protocol::http::Request;
 use fernknot_registry::NodeRecord;
 use fernknot_rpc::InspectionTopic;
-use fernknot_schema::{ProcessSettings, RoutingConfig};
+use fernknot_schema::{ProcessSettings, SystemConfig};
 use fernknot_telemetry::component;
 use std::net::SocketAddrV4;
 
@@ -306,15 +306,9 @@
         }
     }
 
-    fn apply_config<N: Network>(
-        &mut self,
-        now: Nanos,
-        revision: u64,
-        config: RoutingConfig,
-        network: &mut N,
-    ) {
+    fn apply_config<N: Network>(&mut self, now: Nanos, revision: u64, config: SystemConfig, network: &mut N) {
         let Some(snapshot) = self.data_plane.apply_config(now, revision, config) else { return };
-        self.update_relay.forward_config(network, revision, &snapshot.config);
+        self.update_relay.forward_config(network, &snapshot);
         self.update_relay.set_services(&snapshot.config);
         self.data_plane.apply_all_node_changes(now, network);
     }
--- a/crates/fernknot-gateway/src/headers.rs
+++ b/crates/fernknot-gateway/src/headers.rs
@@ -7,6 +7,10 @@
 pub const DEADLINE_MS: &str = "Deadline-Ms";
 /// Identifier of the node incarnation (one run of a node's process) that a request is addressed to.
 pub const TARGET_NODE: &str = "Target-Node";
+/// Name of the tenant that a request belongs to.
+pub const TENANT: &str = "Tenant";
+/// Credentials of a client, among them the keys of tenants.
+pub const AUTHORIZATION: &str = "Authorization";
 /// Opaque value by which a node marks its response as the answer to this attempt. The gateway requires that it is not
 /// empty, but does not verify it.
 pub const ANSWER_SEAL: &str = "Answer-Seal";
--- a/crates/fernknot-gateway/src/lib.rs
+++ b/crates/fernknot-gateway/src/lib.rs
@@ -7,12 +7,13 @@
 //! clients and nodes, messages of `fernknot-rpc` to controllers and other gateways.
 //!
 //! [`Gateway`] only dispatches events. `data_plane` processes requests: `clients` has the connections of clients,
-//! `routing` the configuration, `attempts` the requests in flight with the `decisions` of the engine
+//! `routing` the configuration, `access` the keys of its tenants, `attempts` the requests in flight with the `decisions` of the engine
 //! (`fernknot-engine`, which selects the node of each attempt) and the connections to [`nodes`]. `updates` has the
 //! streams over which nodes and configurations are received.
 
 #![deny(missing_docs)]
 
+mod access;
 mod attempts;
 mod budget;
 mod clients;
--- a/crates/fernknot-gateway/src/routing.rs
+++ b/crates/fernknot-gateway/src/routing.rs
@@ -12,7 +12,7 @@
 use fernknot_protocol::http::Request;
 use fernknot_protocol::multiget::RequestedPart;
 use fernknot_router_config::{Limits, SocketSettings};
-use fernknot_schema::{ClientLimits, RouteTarget, RoutingConfig};
+use fernknot_schema::{ClientLimits, RouteTarget, SystemConfig};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
@@ -108,11 +108,12 @@
         &mut self,
         now: Nanos,
         revision: u64,
-        config: RoutingConfig,
+        config: SystemConfig,
     ) -> Option<(Rc<ConfigSnapshot>, UseCaseChange)> {
         if self.config.as_ref().is_some_and(|current| current.revision >= revision) {
             return None;
         }
+        let SystemConfig { routing: config, access } = config;
         let longest_deadline_ms = config.routes.iter().map(|route| route.deadline_ms).max().unwrap_or(0);
         let retention_ms =
             longest_deadline_ms as f64 * USE_CASE_RETENTION_DEADLINES + EXTRA_USE_CASE_RETENTION_MS;
@@ -120,16 +121,19 @@
         self.http_limits.max_body_bytes = config.limits.body_bytes as usize;
         let change = self.ids.snapshot(now, revision, config, Nanos::from_millis(retention_ms));
         let SnapshotChange { snapshot, use_cases, released } = change;
-        let snapshot = Rc::new(snapshot);
+        let snapshot = Rc::new(snapshot.with_access(access));
         self.config = Some(snapshot.clone());
         Some((snapshot, UseCaseChange { use_cases, released }))
     }
 
-    /// Finds the route and the services of a request.
-    pub(crate) fn route(&mut self, request: Request) -> Result<RoutedRequest, Rejection> {
+    /// Finds the route, the tenant and the services of a request.
+    pub(crate) fn route(&mut self, mut request: Request) -> Result<RoutedRequest, Rejection> {
         let config = self.config.clone().ok_or(Rejection::NoConfig)?;
         let host = request.header("host").unwrap_or_default();
         let index = config.find(host, request.path()).ok_or(Rejection::NoRoute)?;
+        if let Some(access) = config.access() {
+            access.authenticate(index, &mut request)?;
+        }
         let attempt_id = request.header(headers::ATTEMPT_ID);
         let attempt_id = attempt_id.filter(|id| headers::is_valid_attempt_id(id));
         let attempt_id = attempt_id.ok_or(Rejection::InvalidAttemptId)?.to_string();
--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -3,8 +3,9 @@
 use super::controllers::KnownControllers;
 use super::ownership::Ownership;
 use super::sources::{Source, SourceStream, SourceStreams};
-use super::state::{LocalState, Update};
+use super::state::{LocalState, Update, config_message};
 use super::subscribers::{Subscribers, select, send};
+use crate::config_snapshot::ConfigSnapshot;
 use fernknot::interface::Nanos;
 use fernknot_distribution::{Action, Relays, RelaysLimits, SourceHeartbeat, Topic};
 use fernknot_net::{ConnectionId, Network};
@@ -14,7 +15,7 @@
     ControllerEndpoint, ControllerToGateway, GatewayToController, InspectionTopic, Subscription,
     read_message, write_message,
 };
-use fernknot_schema::RoutingConfig;
+use fernknot_schema::{RoutingConfig, SystemConfig};
 use fernknot_telemetry::component;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
@@ -201,7 +202,7 @@
             gateway: self.this_gateway.clone(),
             ready: state.is_ready,
             subscription,
-            revision: state.config.map_or(0, |(revision, _)| revision),
+            revision: state.config.map_or(0, |config| config.revision),
         }
     }
 
@@ -315,6 +316,11 @@
                 }
             }
             ControllerToGateway::Config { revision, config } => {
+                let config = SystemConfig { routing: config, access: None };
+                updates.push(Update::Config { revision, config });
+            }
+            ControllerToGateway::ConfigWithAccessControl { revision, config, access } => {
+                let config = SystemConfig { routing: config, access: Some(access) };
                 updates.push(Update::Config { revision, config });
             }
             ControllerToGateway::NodeUpdates(records) => updates.push(Update::Nodes(records)),
@@ -323,8 +329,7 @@
                 updates.push(Update::SnapshotComplete { watermark, subscription });
             }
             ControllerToGateway::Assignment(assignment) => self.handle_assignment(now, assignment),
-            ControllerToGateway::ConfigWithAccessControl { .. }
-            | ControllerToGateway::TimeOfDay { .. }
+            ControllerToGateway::TimeOfDay { .. }
             | ControllerToGateway::InspectionReport(_)
             | ControllerToGateway::ForceViewResult(_) => {}
         }
@@ -413,9 +418,8 @@
             let assignment = self.ownership.assignment().clone();
             send(network, id, &ControllerToGateway::Assignment(assignment));
         }
-        if let Some((current, config)) = state.config.filter(|(current, _)| *current > revision) {
-            let config = config.clone();
-            send(network, id, &ControllerToGateway::Config { revision: current, config });
+        if let Some(config) = state.config.filter(|config| config.revision > revision) {
+            send(network, id, &config_message(config));
         }
         send(network, id, &ControllerToGateway::NodeUpdates(records));
         if state.is_synchronized {
@@ -446,10 +450,9 @@
     }
 
     /// Forwards a configuration that has just been applied.
-    pub(crate) fn forward_config<N: Network>(&self, network: &mut N, revision: u64, config: &RoutingConfig) {
+    pub(crate) fn forward_config<N: Network>(&self, network: &mut N, config: &ConfigSnapshot) {
         if !self.subscribers.is_empty() {
-            let config = config.clone();
-            self.subscribers.broadcast(network, &ControllerToGateway::Config { revision, config });
+            self.subscribers.broadcast(network, &config_message(config));
         }
     }
 
--- a/crates/fernknot-gateway/tests/scenarios/api_keys.rs
+++ b/crates/fernknot-gateway/tests/scenarios/api_keys.rs
@@ -1,9 +1,10 @@
 //! Keys of tenants: which requests need one, what nodes receive, and what clients get without a valid one.
 
-use super::{Scenario, config, node_response};
+use super::{Scenario, config, node_record, node_response};
 use fernknot::interface::Nanos;
 use fernknot_net::ConnectionId;
 use fernknot_ownership::{GatewayRecord, IncarnationId};
+use fernknot_registry::{NodeRecord, NodeState};
 use fernknot_rpc::{ControllerToGateway, GatewayToController, Subscription};
 use fernknot_schema::{AccessControl, ClientLimits, DigestKey, RoutingConfig, Tenant, TrafficClass};
 use test_case::test_case;
@@ -139,15 +140,33 @@
 #[test]
 fn given_a_rejecting_node_when_the_request_is_retried_then_no_attempt_has_the_key() {
     let mut scenario = start();
+    let first = node_record("lone", NodeState::Ready);
+    let addr = "10.128.0.2:8080".parse().unwrap();
+    let second = NodeRecord { id: "i-second".into(), addr, ..first };
+    scenario.send_update(&ControllerToGateway::NodeUpdates(vec![second]));
+    // Answered requests allow retries.
+    for _ in 0..4 {
+        send(&mut scenario, &request("/i/", VALID));
+        let (node, sent) = scenario.open_node_connection();
+        assert_has_tenant(&sent, "acme");
+        scenario.receive(
+            node,
+            "HTTP/1.1 500 Oops\r\nAttempt-Id: a\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+        );
+    }
+    let started = scenario.node_connections.len();
     send(&mut scenario, &request("/i/", VALID));
     let (node, sent) = scenario.open_node_connection();
     assert_has_tenant(&sent, "acme");
-    let started = scenario.node_connections.len();
-    scenario
-        .receive(node, "HTTP/1.1 503 Full\r\nAttempt-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    scenario.receive(
+        node,
+        "HTTP/1.1 503 Full\r\nAttempt-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+    );
     scenario.advance(Nanos::from_millis(200.0));
-    assert!(scenario.node_connections.len() > started, "no further attempt");
-    assert_has_tenant(&scenario.open_node_connection().1, "acme");
+    assert_eq!(scenario.node_connections.len(), started + 2, "no further attempt");
+    let (retry, sent) = scenario.open_node_connection();
+    assert_ne!(retry, node);
+    assert_has_tenant(&sent, "acme");
 }
 
 #[test_case(""; "no key")]
--- a/crates/fernknot-protocol/src/http/request.rs
+++ b/crates/fernknot-protocol/src/http/request.rs
@@ -6,9 +6,11 @@
 use crate::http_error::HttpError;
 use fernknot_router_config::Limits;
 use httparse::Status;
+use std::fmt;
 
-/// Request that has been received completely.
-#[derive(Debug, Default)]
+/// Request that has been received completely. Its debug output has no values of header fields and no body, which may
+/// be secret.
+#[derive(Default)]
 pub struct Request {
     /// Method as it was sent.
     pub method: String,
@@ -36,12 +38,36 @@
         &self.headers
     }
 
+    /// Removes all header fields of this name, compared without regard to case. Returns their values in the order
+    /// received.
+    pub fn remove_headers(&mut self, name: &str) -> Vec<String> {
+        let removed = self.headers.extract_if(.., |(key, _)| key.eq_ignore_ascii_case(name));
+        removed.map(|(_, value)| value).collect()
+    }
+
+    /// Adds a header field after the others. The caller ensures that the value has no control characters.
+    pub fn add_header(&mut self, name: &str, value: &str) {
+        self.headers.push((name.to_string(), value.to_string()));
+    }
+
     /// Returns the target without the query string.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or("")
     }
 }
 
+impl fmt::Debug for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let header_names: Vec<&str> = self.headers.iter().map(|(name, _)| name.as_str()).collect();
+        f.debug_struct("Request")
+            .field("method", &self.method)
+            .field("path", &self.path())
+            .field("header_names", &header_names)
+            .field("body_bytes", &self.body.len())
+            .finish_non_exhaustive()
+    }
+}
+
 /// Reads the requests of one connection in turn.
 #[derive(Debug, Default)]
 pub struct RequestReader {
--- a/crates/fernknot-protocol/src/http/response.rs
+++ b/crates/fernknot-protocol/src/http/response.rs
@@ -6,7 +6,10 @@
 /// Interim response that asks a client to send the body of its request, or acknowledges that a request was received.
 pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-/// Head of a response.
+/// Field that a response with status 401 must have (RFC 9110, 15.5.2).
+const CHALLENGE: &str = "WWW-Authenticate: Bearer\r\n";
+
+/// Head of a response. One with status 401 asks for a bearer token.
 pub struct ResponseHead<'a> {
     /// Status code.
     pub status: u16,
@@ -30,10 +33,11 @@
         };
         let retry_after =
             self.retry_after_s.map(|wait| format!("Retry-After: {wait:.3}\r\n")).unwrap_or_default();
+        let challenge = if self.status == 401 { CHALLENGE } else { "" };
         // Writing to a buffer never fails.
         let _ = write!(
             out,
-            "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n{connection}{retry_after}\r\n",
+            "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n{connection}{retry_after}{challenge}\r\n",
             self.status,
             reason_phrase(self.status),
             self.content_type,
@@ -47,6 +51,7 @@
     match status {
         200 => "OK",
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
