Keep keys out of the errors of a configuration, and reject tenants' names that no field can hold

A tenant's name with a line end would have put fields of its own into requests to nodes.

Errors of values below `tenants` now name the place and say only that the type is wrong; names with control characters are invalid.

--- a/crates/fernknot-schema/src/raw_config.rs
+++ b/crates/fernknot-schema/src/raw_config.rs
@@ -11,6 +11,8 @@
 use crate::routing_config::{ClientLimits, TrafficClass};
 use crate::validation_error::ValidationError;
 
+/// Setting whose values may be secret.
+const SECRET_SETTING: &str = "tenants";
 /// Name of the parsed text in error messages of `schematic`.
 const SOURCE_NAME: &str = "plan.json";
 
@@ -204,6 +206,10 @@
             .iter()
             .map(|error| ValidationError::new(error.path.to_string(), &*error.message))
             .collect(),
+        // The message contains the value that was found.
+        ConfigError::Parser { error, .. } if error.path.starts_with(SECRET_SETTING) => {
+            vec![ValidationError::new(error.path, "has a value of the wrong type")]
+        }
         ConfigError::Parser { error, .. } => vec![ValidationError::new(error.path, error.message)],
         error => vec![ValidationError::new("", error.to_string())],
     }
--- a/crates/fernknot-schema/src/routing_config_parser.rs
+++ b/crates/fernknot-schema/src/routing_config_parser.rs
@@ -147,6 +147,11 @@
     let mut list: Vec<Tenant> = Vec::with_capacity(raw.len());
     for (index, raw) in raw.into_iter().enumerate() {
         let name = raw.name.unwrap_or_default();
+        // Nodes receive the name in a header field.
+        if name.chars().any(char::is_control) {
+            let reason = "contains a control character";
+            errors.push(ValidationError::new(format!("tenants[{index}].name"), reason));
+        }
         let keys: Vec<ApiKeyDigest> =
             raw.api_keys.0.iter().map(|key| digest_key.digest(key.as_bytes())).collect();
         for key in &keys {
