Add totals of usage by window, incarnation and tenant, and an estimate of the time of day

`UsageTotals` merges reports by maximum (a total never decreases), returns what has changed since it was last taken, in pieces of a bounded size, and everything again for a receiver that may know nothing. Windows and totals are bounded; the oldest windows yield. `TimeOfDayEstimate` takes the largest difference among the last eight messages, which is the one with the shortest delay. No clock, no I/O.

--- a/crates/fernknot-usage/src/lib.rs
+++ b/crates/fernknot-usage/src/lib.rs
@@ -7,5 +7,11 @@
 #![deny(missing_docs)]
 
 mod report;
+mod time_of_day;
+mod totals;
+mod window;
 
 pub use report::{UsageReport, WindowNumber, WindowUsage};
+pub use time_of_day::TimeOfDayEstimate;
+pub use totals::{UsageLimits, UsageTotals};
+pub use window::WindowLength;
