--- a/crates/fernknot-controller/tests/common/mod.rs
+++ b/crates/fernknot-controller/tests/common/mod.rs
@@ -67,6 +67,8 @@
     pub replies: BTreeMap<u64, (u16, String)>,
     /// Messages received by each subscriber.
     pub received: BTreeMap<u64, VecDeque<ControllerToGateway>>,
+    /// Lines that all controllers have logged.
+    pub log_lines: Vec<String>,
     last_id: u64,
     /// Number of messages between controllers so far, without heartbeats.
     pub message_count: u64,
@@ -103,6 +105,7 @@
             seeded_bug,
             replies: BTreeMap::new(),
             received: BTreeMap::new(),
+            log_lines: Vec::new(),
             last_id: 0,
             message_count: 0,
         };
@@ -468,7 +471,8 @@
                     ONE_WAY_DELAY + ONE_WAY_DELAY,
                     Event::Connected(machine_id, machine_id_of(&to)),
                 ),
-                Action::AbortConnect { .. } | Action::Log { .. } => {}
+                Action::AbortConnect { .. } => {}
+                Action::Log { text, .. } => self.log_lines.push(text),
                 Action::Store { write_id, state } => {
                     let machine = self
                         .machines
--- a/crates/fernknot-gateway/tests/scenarios/mod.rs
+++ b/crates/fernknot-gateway/tests/scenarios/mod.rs
@@ -20,6 +20,7 @@
 mod idle_connections;
 mod partial_bodies;
 mod resets;
+mod secrets;
 mod usage;
 
 /// Incarnation of the gateway.
