Reject tenants that are lists, whose items were taken for their settings

A configuration with `"tenants": [["KEY"]]` was accepted: the loader takes the items of a list for the settings of an object in their order, so that the key became the tenant's name, which nodes receive with each request. The test of wrong shapes showed it (the case was left out before, and is in now).

Elements of `tenants` now have to be objects; the error names the index only. Routes and services have the same leniency and keep it, as nothing secret is in them.

--- a/crates/fernknot-schema/src/lib.rs
+++ b/crates/fernknot-schema/src/lib.rs
@@ -12,6 +12,7 @@
 #![deny(missing_docs)]
 
 mod json_digest;
+mod json_kind;
 mod node_heartbeat;
 mod object_reader;
 mod process_settings;
--- a/crates/fernknot-schema/src/raw_config.rs
+++ b/crates/fernknot-schema/src/raw_config.rs
@@ -7,6 +7,7 @@
 use schematic::{Config, ConfigError, ConfigLoader, Schematic, ValidateError, ValidateResult};
 use serde::{Deserialize, Deserializer, Serialize, de};
 
+use crate::json_kind::JsonKind;
 use crate::raw_api_keys::RawApiKeys;
 use crate::routing_config::{ClientLimits, TrafficClass};
 use crate::validation_error::ValidationError;
@@ -196,7 +197,27 @@
 pub(crate) fn load(text: &str) -> Result<RawConfig, Vec<ValidationError>> {
     let mut loader = ConfigLoader::<RawConfig>::new();
     let loaded = loader.code(text, SOURCE_NAME).and_then(|loader| loader.load());
-    loaded.map(|loaded| loaded.config).map_err(validation_errors)
+    let config = loaded.map(|loaded| loaded.config).map_err(validation_errors)?;
+    check_tenants_are_objects(text)?;
+    Ok(config)
+}
+
+/// Types of the tenants in a configuration.
+#[derive(Deserialize)]
+struct TenantKinds {
+    tenants: Option<Vec<JsonKind>>,
+}
+
+/// Rejects tenants that are lists: the loader takes the items of a list for the settings in their order, so that a key
+/// could become the name that nodes receive.
+fn check_tenants_are_objects(text: &str) -> Result<(), Vec<ValidationError>> {
+    let kinds: Option<TenantKinds> = serde_json::from_str(text).ok();
+    let kinds = kinds.and_then(|kinds| kinds.tenants).unwrap_or_default();
+    let others = kinds.iter().enumerate().filter(|(_, kind)| **kind != JsonKind::Object);
+    let errors: Vec<ValidationError> = others
+        .map(|(index, _)| ValidationError::new(format!("{SECRET_SETTING}[{index}]"), "is not an object"))
+        .collect();
+    if errors.is_empty() { Ok(()) } else { Err(errors) }
 }
 
 fn validation_errors(error: ConfigError) -> Vec<ValidationError> {
--- a/crates/fernknot-schema/tests/tenant_keys.rs
+++ b/crates/fernknot-schema/tests/tenant_keys.rs
@@ -83,6 +83,8 @@
 #[test_case(json!("qiqrh4jcda9rgy35ieis"); "a key in place of the list")]
 #[test_case(json!(["qiqrh4jcda9rgy35ieis"]); "a key in place of a tenant")]
 #[test_case(json!({"qiqrh4jcda9rgy35ieis": "acme"}); "an object")]
+#[test_case(json!([["qiqrh4jcda9rgy35ieis"]]); "a list in place of a tenant")]
+#[test_case(json!([["acme", ["qiqrh4jcda9rgy35ieis"]]]); "a list of settings in place of a tenant")]
 #[test_case(json!([{"name": "acme", "api_keys": "qiqrh4jcda9rgy35ieis"}]); "a key in place of the keys")]
 #[test_case(json!([{"name": "acme", "api_keys": {"qiqrh4jcda9rgy35ieis": 1}}]); "an object in place of the keys")]
 #[test_case(json!([{"name": "acme", "api_keys": [["qiqrh4jcda9rgy35ieis"]]}]); "a list in place of a key")]
