--- a/crates/fernknot-gateway/src/routing.rs
+++ b/crates/fernknot-gateway/src/routing.rs
@@ -1,5 +1,6 @@
 //! The configuration in force, and the routing of requests to services by it.
 
+use crate::access::TenantIndex;
 use crate::clients::{ClientTimeouts, Rejection};
 use crate::config_snapshot::ConfigSnapshot;
 use crate::engine_ids::{EngineIds, SnapshotChange};
@@ -13,7 +14,7 @@
 use fernknot_protocol::http::Request;
 use fernknot_protocol::multiget::RequestedPart;
 use fernknot_router_config::{Limits, SocketSettings};
-use fernknot_schema::{ClientLimits, RouteTarget, RoutingConfig};
+use fernknot_schema::{ClientLimits, RouteTarget, SystemConfig};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
@@ -38,6 +39,8 @@
     pub(crate) config: Rc<ConfigSnapshot>,
     /// Index of the request's route in the configuration.
     pub(crate) route: usize,
+    /// Tenant that the request belongs to.
+    pub(crate) tenant: Option<TenantIndex>,
     pub(crate) attempt_id: String,
     /// Time that the client waits, bounded by the deadline of the route.
     pub(crate) timeout: Nanos,
@@ -114,18 +117,19 @@
         &mut self,
         now: Nanos,
         revision: u64,
-        config: RoutingConfig,
+        config: SystemConfig,
     ) -> Option<(Rc<ConfigSnapshot>, UseCaseChange)> {
         if self.config.as_ref().is_some_and(|current| current.revision >= revision) {
             return None;
         }
+        let SystemConfig { routing: config, access } = config;
         let longest_deadline_ms = config.routes.iter().map(|route| route.deadline_ms).max().unwrap_or(0);
         let retention_ms =
             longest_deadline_ms as f64 * USE_CASE_RETENTION_DEADLINES + EXTRA_USE_CASE_RETENTION_MS;
         set_client_limits(&mut self.http_limits, &config.limits);
         let change = self.ids.snapshot(now, revision, config, Nanos::from_millis(retention_ms));
         let SnapshotChange { snapshot, use_cases, released } = change;
-        let snapshot = Rc::new(snapshot);
+        let snapshot = Rc::new(snapshot.with_access(access));
         self.config = Some(snapshot.clone());
         Some((snapshot, UseCaseChange { use_cases, released }))
     }
@@ -135,13 +139,19 @@
         self.confirmation = confirmation;
     }
 
-    /// Finds the route and the services of a request.
-    pub(crate) fn route(&mut self, now: Nanos, request: Request) -> Result<RoutedRequest, Rejection> {
+    /// Finds the route, the tenant and the services of a request.
+    pub(crate) fn route(&mut self, now: Nanos, mut request: Request) -> Result<RoutedRequest, Rejection> {
         let config = self.config.clone().ok_or(Rejection::NoConfig)?;
         let host = request.header("host").unwrap_or_default();
         let index = config
             .find(host, request.path())
             .ok_or_else(|| self.confirmed(now, config.revision, Rejection::NoRoute))?;
+        let tenant = match config.access() {
+            Some(access) => access
+                .authenticate(index, &mut request)
+                .map_err(|rejection| self.confirmed(now, config.revision, rejection))?,
+            None => None,
+        };
         let attempt_id = request.header(headers::ATTEMPT_ID);
         let attempt_id = attempt_id.filter(|id| headers::is_valid_attempt_id(id));
         let attempt_id = attempt_id.ok_or(Rejection::InvalidAttemptId)?.to_string();
@@ -154,6 +164,7 @@
             request,
             config,
             route: index,
+            tenant,
             attempt_id,
             timeout: Nanos(timeout_ms.saturating_mul(1_000_000)),
             parts,
--- a/crates/fernknot-gateway/src/updates/mod.rs
+++ b/crates/fernknot-gateway/src/updates/mod.rs
@@ -12,6 +12,7 @@
 mod state;
 mod subscribers;
 mod topics;
+mod usage;
 
 pub(crate) use confirmation::Confirmation;
 pub(crate) use relay::UpdateRelay;
--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -7,9 +7,10 @@
 use super::ownership::Ownership;
 use super::snapshots::Snapshots;
 use super::sources::{Source, SourceStream, SourceStreams};
-use super::state::{LocalState, Update};
+use super::state::{LocalState, Update, config_message};
 use super::subscribers::{Subscribers, select, send};
 use super::topics::{subscription_to, topics_of};
+use super::usage::UsageReporter;
 use fernknot::interface::Nanos;
 use fernknot_distribution::{Action, Relays, RelaysLimits, SourceHeartbeat, Topic};
 use fernknot_net::{ConnectionId, Network};
@@ -18,7 +19,7 @@
     ControllerEndpoint, ControllerToGateway, GatewayToController, InspectionTopic, Subscription,
     write_message,
 };
-use fernknot_schema::RoutingConfig;
+use fernknot_schema::{InvariantBounds, RoutingConfig, SystemConfig};
 use fernknot_telemetry::component;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
@@ -45,6 +46,8 @@
     subscribers: Subscribers,
     readers: MessageReaders,
     ownership: Ownership,
+    /// Usage that is reported to the source of the configuration.
+    pub(crate) usage: UsageReporter,
     heartbeat_interval: Nanos,
     next_heartbeat_at: Nanos,
     controllers: KnownControllers,
@@ -76,6 +79,7 @@
         seeds: &[SocketAddrV4],
         settings: OwnedKeysSettings,
         lease_duration: Nanos,
+        bounds: &InvariantBounds,
         rng_seed: u64,
     ) -> UpdateRelay {
         let (incarnation, zone, apply_timeout) =
@@ -90,6 +94,7 @@
                 rng_seed,
             ),
             ownership: Ownership::new(&this_gateway, settings),
+            usage: UsageReporter::new(incarnation, bounds),
             this_gateway,
             sources: SourceStreams::default(),
             subscribers: Subscribers::default(),
@@ -223,6 +228,9 @@
                     }
                 }
                 Action::ForwardHeartbeat { to, heartbeat } => {
+                    if let Some(time_of_day) = self.usage.time_of_day_message(now) {
+                        self.subscribers.multicast(network, &to, &time_of_day);
+                    }
                     let message = self.heartbeat_message(heartbeat);
                     self.subscribers.multicast(network, &to, &message);
                 }
@@ -249,7 +257,11 @@
         let carries_config = topics.contains(&Topic::Configuration);
         let subscription = subscription_to(topics, &self.services);
         let known = self.sources.connection_of(source);
-        if let Some(stream) = known.and_then(|id| self.sources.get_mut(id))
+        let stream = known.and_then(|id| self.sources.get_mut(id));
+        if carries_config && !stream.as_ref().is_some_and(|stream| stream.carries_config) {
+            self.usage.report_all_again();
+        }
+        if let Some(stream) = stream
             && stream.subscription == subscription
         {
             stream.carries_config = carries_config;
@@ -275,14 +287,14 @@
             gateway: self.this_gateway.clone(),
             ready: state.is_ready,
             subscription,
-            revision: state.config.map_or(0, |(revision, _)| revision),
+            revision: state.config.map_or(0, |config| config.revision),
         }
     }
 
     /// Sends each source a heartbeat, and reports the live subscribers to the source of the configuration only. Relays
     /// of different topics may subscribe to each other in cycles: if reports were sent to all sources, those of
     /// gateways that are gone would circulate for ever and accumulate. The streams of the configuration form a tree.
-    fn send_heartbeats<N: Network>(&self, now: Nanos, network: &mut N, is_ready: bool) {
+    fn send_heartbeats<N: Network>(&mut self, now: Nanos, network: &mut N, is_ready: bool) {
         let since = now - self.heartbeat_interval.times(HEARTBEAT_TIMEOUT_INTERVALS);
         for (id, stream) in self.sources.iter() {
             let Some(output) = network.output(id) else { continue };
@@ -294,6 +306,7 @@
             if !live.is_empty() {
                 write_message(output, &GatewayToController::RelayedHeartbeats(live));
             }
+            self.usage.due_reports(now).iter().for_each(|reports| write_message(output, reports));
         }
     }
 
@@ -307,6 +320,14 @@
         }
     }
 
+    /// Reports the usage that has not been reported yet, before the process exits.
+    pub(crate) fn send_remaining_usage<N: Network>(&mut self, network: &mut N) {
+        for (id, _) in self.sources.iter().filter(|(_, stream)| stream.carries_config) {
+            let Some(output) = network.output(id) else { continue };
+            self.usage.changed_reports().iter().for_each(|reports| write_message(output, reports));
+        }
+    }
+
     // ---- Messages --------------------------------------------------------------------------
 
     /// Reads the messages that were received on a connection, and adds those for the gateway itself to `updates`.
@@ -382,6 +403,11 @@
                 }
             }
             ControllerToGateway::Config { revision, config } => {
+                let config = SystemConfig { routing: config, access: None };
+                updates.push(Update::Config { revision, config });
+            }
+            ControllerToGateway::ConfigWithAccessControl { revision, config, access } => {
+                let config = SystemConfig { routing: config, access: Some(access) };
                 updates.push(Update::Config { revision, config });
             }
             ControllerToGateway::NodeUpdates(records) => updates.push(Update::Nodes(records)),
@@ -393,10 +419,12 @@
                 updates.push(Update::SnapshotComplete { watermark, subscription });
             }
             ControllerToGateway::Assignment(assignment) => self.handle_assignment(now, assignment),
-            ControllerToGateway::ConfigWithAccessControl { .. }
-            | ControllerToGateway::TimeOfDay { .. }
-            | ControllerToGateway::InspectionReport(_)
-            | ControllerToGateway::ForceViewResult(_) => {}
+            ControllerToGateway::TimeOfDay { unix_ms } => {
+                if stream.carries_config {
+                    self.usage.record_time_of_day(now, unix_ms);
+                }
+            }
+            ControllerToGateway::InspectionReport(_) | ControllerToGateway::ForceViewResult(_) => {}
         }
     }
 
@@ -453,13 +481,16 @@
                 if let Some(addr) = self.subscribers.unsubscribe(id) {
                     self.relays.subscribe(addr, []);
                 }
+                // The gateway reports its usage until it exits.
+                self.subscribers.accept(id);
             }
             GatewayToController::Inspect(topic) => updates.push(Update::Inspect { connection: id, topic }),
             GatewayToController::ForceView { .. } => {
                 let rejection = Err(NO_VIEW_REASON.into());
                 send(network, id, &ControllerToGateway::ForceViewResult(rejection));
             }
-            GatewayToController::Peer(_) | GatewayToController::UsageReports(_) => {}
+            GatewayToController::UsageReports(reports) => self.usage.record(&reports),
+            GatewayToController::Peer(_) => {}
         }
     }
 
@@ -484,9 +515,8 @@
             let assignment = self.ownership.assignment().clone();
             send(network, id, &ControllerToGateway::Assignment(assignment));
         }
-        if let Some((current, config)) = state.config.filter(|(current, _)| *current > revision) {
-            let config = config.clone();
-            send(network, id, &ControllerToGateway::Config { revision: current, config });
+        if let Some(config) = state.config.filter(|config| config.revision > revision) {
+            send(network, id, &config_message(config));
         }
         send(network, id, &ControllerToGateway::NodeUpdates(records));
         self.complete_snapshots(now, network);
--- a/crates/fernknot-gateway/src/updates/relay/forwarding.rs
+++ b/crates/fernknot-gateway/src/updates/relay/forwarding.rs
@@ -1,14 +1,15 @@
 //! Messages to the gateways that subscribe to this one.
 
+use super::super::state::config_message;
 use super::super::subscribers::send;
 use super::super::topics::topics_of;
 use super::UpdateRelay;
+use crate::config_snapshot::ConfigSnapshot;
 use fernknot::interface::Nanos;
 use fernknot_distribution::{SourceHeartbeat, Topic};
 use fernknot_net::Network;
 use fernknot_registry::NodeRecord;
 use fernknot_rpc::{ControllerToGateway, Subscription};
-use fernknot_schema::RoutingConfig;
 
 /// Time for which a topic counts as current after a heartbeat with a lease, in intervals of this gateway's heartbeats.
 const CURRENT_INTERVALS: f64 = 1.25;
@@ -26,10 +27,9 @@
     }
 
     /// Forwards a configuration that has just been applied.
-    pub(crate) fn forward_config<N: Network>(&self, network: &mut N, revision: u64, config: &RoutingConfig) {
+    pub(crate) fn forward_config<N: Network>(&self, network: &mut N, config: &ConfigSnapshot) {
         if !self.subscribers.is_empty() {
-            let config = config.clone();
-            self.subscribers.broadcast(network, &ControllerToGateway::Config { revision, config });
+            self.subscribers.broadcast(network, &config_message(config));
         }
     }
 
--- a/crates/fernknot-gateway/tests/scenarios/mod.rs
+++ b/crates/fernknot-gateway/tests/scenarios/mod.rs
@@ -9,9 +9,12 @@
 use fernknot_rpc::{
     ControllerEndpoint, ControllerToGateway, GatewayToController, Subscription, read_message, write_message,
 };
-use fernknot_schema::{ClientLimits, Route, RouteTarget, RoutingConfig, Service, TrafficClass};
+use fernknot_schema::{
+    AccessControl, ClientLimits, ProcessSettings, Route, RouteTarget, RoutingConfig, Service, TrafficClass,
+};
 use fernknot_simulator::ports::{PortAction, SimulatedPorts};
 
+mod api_keys;
 mod attempts;
 mod identifiers;
 mod idle_connections;
@@ -19,8 +22,12 @@
 mod partial_bodies;
 mod relayed_updates;
 mod resets;
+mod secrets;
 mod unconfirmed_config;
+mod usage;
 
+/// Incarnation of the gateway.
+const INCARNATION: u64 = 7;
 const NODE: &str = "10.128.0.1:8080";
 /// Port of other gateways for updates.
 const RELAY_PORT: u16 = 7120;
@@ -31,8 +38,6 @@
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 /// Number of unconsumed bytes of a connection from which on the host's event loop does not read it.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
-/// Incarnation of the scenario's gateway.
-const INCARNATION: u64 = 7;
 
 pub struct Scenario {
     now: Nanos,
@@ -76,21 +81,36 @@
 impl Scenario {
     /// Starts a gateway that has this configuration and knows the node.
     pub fn start(memory_mb: u64, config: RoutingConfig) -> Scenario {
-        let mut scenario = Scenario::without_updates(memory_mb);
-        scenario.send_update(&ControllerToGateway::Assignment(Assignment::default()));
-        scenario.send_update(&ControllerToGateway::NodeUpdates(vec![node_record("lone", NodeState::Ready)]));
+        let mut scenario = Scenario::start_without_config(memory_mb);
         scenario.apply_config(config);
         scenario.send_update(&ControllerToGateway::SnapshotComplete);
         scenario.send_heartbeat();
         scenario
     }
 
+    /// Starts a gateway that knows the node and has received no configuration.
+    pub fn start_without_config(memory_mb: u64) -> Scenario {
+        Scenario::start_with(settings(memory_mb))
+    }
+
+    /// Starts a gateway with these settings that knows the node and has received no configuration.
+    pub fn start_with(settings: ProcessSettings) -> Scenario {
+        let mut scenario = Scenario::without_updates_with(settings);
+        scenario.send_update(&ControllerToGateway::Assignment(Assignment::default()));
+        scenario.send_update(&ControllerToGateway::NodeUpdates(vec![node_record("lone", NodeState::Ready)]));
+        scenario
+    }
+
     /// Starts a gateway that has subscribed to the controller, which has sent nothing.
     pub fn without_updates(memory_mb: u64) -> Scenario {
+        Scenario::without_updates_with(settings(memory_mb))
+    }
+
+    fn without_updates_with(settings: ProcessSettings) -> Scenario {
         let mut network = SimulatedPorts::default();
         let listeners =
             ListenerIds { front: network.new_id(), ready: network.new_id(), inner: network.new_id() };
-        let gateway = Gateway::new(settings(memory_mb), listeners, INCARNATION).unwrap();
+        let gateway = Gateway::new(settings, listeners, INCARNATION).unwrap();
         let (node_connections, closed) = (Vec::new(), Vec::new());
         let controller = ConnectionId(0);
         let mut scenario = Scenario {
@@ -215,6 +235,16 @@
         });
     }
 
+    /// Sends the next revision of the configuration, with tenants, from the controller.
+    pub fn apply_config_with_access(&mut self, config: RoutingConfig, access: AccessControl) {
+        self.revision += 1;
+        self.send_update(&ControllerToGateway::ConfigWithAccessControl {
+            revision: self.revision,
+            config: RoutingConfig { epoch: self.revision, ..config },
+            access,
+        });
+    }
+
     /// Runs one step of the gateway with these events.
     pub fn step(&mut self, events: Vec<Event>) {
         self.gateway.step(self.now, events, &mut self.network);
@@ -256,6 +286,29 @@
         id
     }
 
+    /// Connects another process of the system to the inner address.
+    pub fn connect_process(&mut self) -> ConnectionId {
+        let id = self.network.new_id();
+        self.network.add_connection(id, true);
+        let peer = "10.1.0.30:999".parse().unwrap();
+        self.step(vec![Event::Accepted { connection: id, listener: self.listeners.inner, peer }]);
+        id
+    }
+
+    /// Delivers a message of another process, and returns the messages that the gateway has sent to it since the last
+    /// call.
+    pub fn exchange(&mut self, id: ConnectionId, message: &GatewayToController) -> Vec<ControllerToGateway> {
+        write_message(&mut self.network.connections.get_mut(&id).unwrap().input, message);
+        self.step(vec![Event::Received { connection: id }]);
+        self.take_updates(id)
+    }
+
+    /// Returns the messages that the gateway has sent to the controller since the last call.
+    pub fn take_requests(&mut self) -> Vec<GatewayToController> {
+        let output = &mut self.network.connections.get_mut(&self.controller).unwrap().output;
+        std::iter::from_fn(|| read_message(output, 16 << 20).unwrap()).collect()
+    }
+
     /// Connects to the address for readiness and counters, and sends a request.
     pub fn send_platform_request(&mut self, text: &str) -> ConnectionId {
         let id = self.network.new_id();
