--- a/crates/fernknot-usage/src/report.rs
+++ b/crates/fernknot-usage/src/report.rs
@@ -8,6 +8,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 pub struct WindowNumber(pub u64);
 
+impl WindowNumber {
+    /// Window after this one.
+    pub fn next(self) -> WindowNumber {
+        WindowNumber(self.0.saturating_add(1))
+    }
+}
+
 /// Totals of one gateway incarnation for the windows that have changed since its last report.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct UsageReport {
