Keep usage in the replicated state without a new configuration for gateways

A commit of usage every few seconds must not look like a new configuration to gateways, which would be sent it again.

`ReplicatedState` is encoded as the bare control state as long as no usage is recorded, and with a tag otherwise; both are decoded. It keeps the revision in which the configuration last changed, and `Config`, heartbeats, `is_behind` and the gauge `revision` follow that one; proposals build on the state's own revision. After a forced view, which gives the state a new revision, that one counts, so that gateways drop a configuration that the forced view discarded. A configuration that has not changed is not parsed again.

--- a/crates/fernknot-controller/src/control_state.rs
+++ b/crates/fernknot-controller/src/control_state.rs
@@ -2,14 +2,12 @@
 //! committed last.
 
 use bitcode::{Decode, Encode};
-use fernknot_schema::{DigestKey, SystemConfig};
-use std::sync::Arc;
 use thiserror::Error;
 
 /// Maximum number of committed versions in the history, 24 bytes each: two hours at 12,000 changes a day, eight
 /// minutes at two a second. Safety does not depend on the number: changes older than the history are never rejected
 /// (see [`ControlState::newest_forgotten_epoch`]).
-const MAX_HISTORY_LENGTH: usize = 1024;
+pub(crate) const MAX_HISTORY_LENGTH: usize = 1024;
 
 /// A committed version of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
@@ -41,22 +39,11 @@
     source: bitcode::Error,
 }
 
-/// Reason why a delivered state cannot be activated.
-#[derive(Debug, Error)]
-pub enum ActivationError {
-    /// The bytes cannot be decoded as a control state.
-    #[error(transparent)]
-    State(#[from] ControlStateError),
-    /// The configuration of this epoch is invalid; the first error is given.
-    #[error("cannot parse the configuration of version {epoch}: {reason}")]
-    Config { epoch: u64, reason: String },
-}
-
 impl ControlState {
-    /// Decodes a delivered state; empty bytes are the state before the first configuration.
+    /// Decodes a state without usage; empty bytes are the state before the first configuration.
     ///
     /// # Errors
-    /// If the bytes were not written by a controller of this build.
+    /// If the bytes were not encoded by [`encode`](Self::encode).
     pub fn decode(state: &[u8]) -> Result<ControlState, ControlStateError> {
         if state.is_empty() {
             return Ok(ControlState::default());
@@ -64,7 +51,7 @@
         Ok(bitcode::decode(state)?)
     }
 
-    /// Encodes the state, to be proposed.
+    /// Encodes the state.
     pub fn encode(&self) -> Vec<u8> {
         bitcode::encode(self)
     }
@@ -99,50 +86,3 @@
         ControlState { epoch: version.epoch, body, history }
     }
 }
-
-/// Control state that was delivered last, with its configuration parsed.
-#[derive(Clone, Debug)]
-pub struct ActiveConfig {
-    /// Revision of the control state; 0 before the first one is delivered.
-    pub revision: u64,
-    /// Control state as the consensus member delivered it; the default before that.
-    pub state: ControlState,
-    /// Shared copy of the body, so that replies need no copy per caller.
-    pub body: Arc<[u8]>,
-    /// Parsed configuration; None before the first one.
-    pub config: Option<SystemConfig>,
-}
-
-impl ActiveConfig {
-    /// Returns the state before anything is delivered.
-    pub fn empty() -> ActiveConfig {
-        ActiveConfig { revision: 0, state: ControlState::default(), body: Arc::from([]), config: None }
-    }
-
-    /// Decodes a delivered state and parses its configuration.
-    pub fn parse(
-        revision: u64,
-        state: &[u8],
-        digest_key: &DigestKey,
-    ) -> Result<ActiveConfig, ActivationError> {
-        let state = ControlState::decode(state)?;
-        let config = match state.body.is_empty() {
-            true => None,
-            false => Some(parse_config(&state, digest_key)?),
-        };
-        let body = Arc::from(&state.body[..]);
-        Ok(ActiveConfig { revision, state, body, config })
-    }
-
-    /// Number of routes in the configuration.
-    pub fn route_count(&self) -> usize {
-        self.config.as_ref().map_or(0, |config| config.routing.routes.len())
-    }
-}
-
-fn parse_config(state: &ControlState, digest_key: &DigestKey) -> Result<SystemConfig, ActivationError> {
-    SystemConfig::parse(&state.body, digest_key).map_err(|errors| {
-        let reason = errors.first().map(ToString::to_string).unwrap_or_default();
-        ActivationError::Config { epoch: state.epoch, reason }
-    })
-}
--- a/crates/fernknot-controller/src/controller/changes.rs
+++ b/crates/fernknot-controller/src/controller/changes.rs
@@ -4,7 +4,6 @@
 use crate::action::SubscriberId;
 use crate::calls::{ChangeOutcome, ReplaceConfig, status};
 use crate::change::{ForwardedCallId, RequestOrigin};
-use crate::control_state::ActiveConfig;
 use crate::counters as counter;
 use crate::evidence::QuorumEvidence;
 use crate::pending_changes::Leadership;
@@ -143,13 +142,13 @@
         let leader = self.consensus.leader().map(|leader| leader.addr);
         let remote =
             leader.filter(|leader| *leader != self.settings.addr && self.peers.is_connected(*leader));
-        Leadership { is_local: self.consensus.is_leader(), remote }
+        Leadership { is_local: self.consensus.is_leader(), remote, is_proposing: false }
     }
 
     /// Activates a state that the consensus member delivered: finishes the changes that it lists as committed, and
     /// sends it to the subscribers that lack it. A state that can't be parsed is logged and ignored.
     pub(super) fn activate_config(&mut self, revision: Revision, state: &[u8]) {
-        let config = match ActiveConfig::parse(revision.0, state, &self.settings.digest_key) {
+        let config = match self.active_config.successor(revision, state, &self.settings.digest_key) {
             Ok(config) => config,
             Err(error) => {
                 return self.actions.log(Level::Error, component::ROUTING_CONFIG, error.to_string());
@@ -167,7 +166,7 @@
         for (origin, evidence) in self.changes.take_committed(&self.active_config.state) {
             self.finish_change(origin, ChangeOutcome::Committed(evidence));
         }
-        let behind = self.subscribers.behind(revision.0);
+        let behind = self.subscribers.behind(self.active_config.config_revision);
         self.send_config(behind);
     }
 
@@ -177,7 +176,7 @@
             return;
         }
         let Some(config) = self.active_config.config.clone() else { return };
-        let revision = self.active_config.revision;
+        let revision = self.active_config.config_revision;
         self.subscribers.mark_sent(&to, revision);
         let SystemConfig { routing: config, access } = config;
         self.actions.notify(
--- a/crates/fernknot-controller/src/controller/consensus_events.rs
+++ b/crates/fernknot-controller/src/controller/consensus_events.rs
@@ -2,8 +2,8 @@
 
 use super::state::Controller;
 use crate::action::Action;
+use crate::active_config::ActiveConfig;
 use crate::calls::ChangeOutcome;
-use crate::control_state::ActiveConfig;
 use crate::evidence::QuorumEvidence;
 use fernknot_consensus::{Action as ConsensusAction, View};
 use fernknot_rpc::ControllerMessage;
--- a/crates/fernknot-controller/src/controller/inspection.rs
+++ b/crates/fernknot-controller/src/controller/inspection.rs
@@ -66,7 +66,7 @@
         let gauges = [
             (counter::VIEW, self.consensus.view().map_or(0, |view| view.number.0)),
             (counter::EPOCH, self.active_config.state.epoch),
-            (counter::REVISION, self.active_config.revision),
+            (counter::REVISION, self.active_config.config_revision),
             (counter::LEASE, self.holds_lease() as u64),
             (counter::REMAINING_FAULT_TOLERANCE, fault_tolerance as u64),
             (counter::NODES_UP, self.nodes.up_count() as u64),
--- a/crates/fernknot-controller/src/controller/publication.rs
+++ b/crates/fernknot-controller/src/controller/publication.rs
@@ -35,7 +35,7 @@
     }
 
     fn send_snapshot(&mut self, id: SubscriberId) {
-        if self.subscribers.is_behind(id, self.active_config.revision) {
+        if self.subscribers.is_behind(id, self.active_config.config_revision) {
             self.send_config(vec![id]);
         }
         self.send_nodes(id);
@@ -96,7 +96,7 @@
     fn heartbeat(&self) -> ControllerToGateway {
         ControllerToGateway::Heartbeat {
             sender: self.settings.seed,
-            revision: self.active_config.revision,
+            revision: self.active_config.config_revision,
             holds_lease: self.holds_lease() && !self.shutting_down,
             hops: 0,
             fencing_token: self.ownership.assignment().fencing_token.0,
--- a/crates/fernknot-controller/src/controller/state.rs
+++ b/crates/fernknot-controller/src/controller/state.rs
@@ -1,9 +1,9 @@
 //! State of a controller, and the operations shared by its handlers.
 
 use crate::action::{Action, ActionQueue, PendingCall};
+use crate::active_config::ActiveConfig;
 use crate::calls::{CheckReadiness, Deregister, Heartbeat, ReadConfig, ReadCounters, ReplaceConfig};
 use crate::consensus_driver::ConsensusDriver;
-use crate::control_state::ActiveConfig;
 use crate::counters as counter;
 use crate::node_registry::NodeRegistry;
 use crate::ownership::Ownership;
--- a/crates/fernknot-controller/src/counters.rs
+++ b/crates/fernknot-controller/src/counters.rs
@@ -33,7 +33,7 @@
 pub const VIEW: &str = "view";
 /// Gauge: epoch of the active configuration; 0 before the first.
 pub const EPOCH: &str = "epoch";
-/// Gauge: revision of the control state with the active configuration; 0 before the first.
+/// Gauge: revision of the control state in which the active configuration was committed; 0 before the first.
 pub const REVISION: &str = "revision";
 /// Gauge: 1 while this controller holds a lease, because a majority has answered its heartbeats recently, otherwise
 /// 0.
--- a/crates/fernknot-controller/src/lib.rs
+++ b/crates/fernknot-controller/src/lib.rs
@@ -19,6 +19,7 @@
 #![deny(missing_docs)]
 
 mod action;
+mod active_config;
 mod calls;
 mod change;
 mod consensus_driver;
@@ -33,6 +34,7 @@
 mod peers;
 mod pending_changes;
 mod read_index;
+mod replicated_state;
 mod reports;
 mod seeded_bug;
 mod settings;
@@ -42,6 +44,7 @@
 pub use action::{Action, PendingCall, SubscriberId};
 pub use control_state::{CommittedVersion, ControlState, ControlStateError};
 pub use controller::Controller;
+pub use replicated_state::{RecordedUsage, ReplicatedState};
 #[doc(hidden)]
 pub use seeded_bug::SeededBug;
 pub use settings::ControllerSettings;
--- a/crates/fernknot-controller/src/pending_changes.rs
+++ b/crates/fernknot-controller/src/pending_changes.rs
@@ -1,8 +1,9 @@
 //! Pending changes of the routing configuration, from the call to its outcome.
 
+use crate::active_config::ActiveConfig;
 use crate::calls::{ChangeOutcome, ReplaceConfig, status};
 use crate::change::{ChangeAssessment, ChangeStage, ConfigChange, RequestOrigin, assess_change};
-use crate::control_state::{ActiveConfig, CommittedVersion, ControlState};
+use crate::control_state::{CommittedVersion, ControlState, MAX_HISTORY_LENGTH};
 use crate::evidence::QuorumEvidence;
 use fernknot::interface::Nanos;
 use fernknot_consensus::Revision;
@@ -27,6 +28,8 @@
     pub is_local: bool,
     /// Address of the leader, if it is another controller to which a connection is up.
     pub remote: Option<SocketAddrV4>,
+    /// Whether a proposal of this controller that is no configuration change is in flight.
+    pub is_proposing: bool,
 }
 
 /// A control state to propose to the consensus member.
@@ -88,6 +91,11 @@
         self.changes.is_empty()
     }
 
+    /// Whether a change is proposed, with no outcome yet.
+    pub fn has_proposal(&self) -> bool {
+        self.changes.iter().any(|change| matches!(change.stage, ChangeStage::Proposed(_)))
+    }
+
     /// Admits a change. Returns false if too many are pending.
     pub fn admit(
         &mut self,
@@ -127,8 +135,7 @@
     ) -> ChangeSteps {
         let mut steps = ChangeSteps::default();
         let mut finished_ids = Vec::new();
-        let mut proposal_in_flight =
-            self.changes.iter().any(|change| matches!(change.stage, ChangeStage::Proposed(_)));
+        let mut proposal_in_flight = leadership.is_proposing || self.has_proposal();
         for change in &mut self.changes {
             if change.stage != ChangeStage::Queued || change.not_before > now {
                 continue;
@@ -318,9 +325,7 @@
     let version =
         CommittedVersion { epoch: change.epoch, base_epoch: change.base_epoch, digest: change.digest };
     let body = change.body.clone();
-    let state = match forgets_early {
-        true => active.state.with_bounded_history(SEEDED_HISTORY_LENGTH, version, body),
-        false => active.state.with_committed(version, body),
-    };
-    Proposal { change_id: change.id, base: Revision(active.revision), state: state.encode() }
+    let max_history = if forgets_early { SEEDED_HISTORY_LENGTH } else { MAX_HISTORY_LENGTH };
+    let state = active.with_config(max_history, version, body);
+    Proposal { change_id: change.id, base: Revision(active.revision), state }
 }
