--- /dev/null
+++ b/crates/fernknot-duties/src/platform_call.rs
@@ -0,0 +1,222 @@
+//! The one outstanding call to the platform: attempts, time limits and retries.
+
+use crate::holder::DutyToken;
+use crate::settings::DutySettings;
+use fernknot::interface::Nanos;
+use fernknot_ownership::splitmix64;
+use fernknot_usage::{FixedWindow, WindowNumber};
+
+/// Status of a call that is acknowledged.
+const OK: u16 = 200;
+/// Status of a call whose fencing token is lower than one that the platform has seen.
+const CONFLICT: u16 = 409;
+/// Smallest share of a pause that is waited; the rest is random.
+const MIN_PAUSE_SHARE: f64 = 0.5;
+
+/// Identifier of one attempt of a call, never reused within a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// Content of a call, to be written to the platform's socket at once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsageCall {
+    /// Value of `Duty-Holder`.
+    pub holder: String,
+    /// Value of `Fence-Token`.
+    pub token: DutyToken,
+    /// Window that is reported.
+    pub window: WindowNumber,
+    /// Body, as JSON; the same bytes for every attempt of every holder.
+    pub body: Vec<u8>,
+}
+
+/// End of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// The platform answered with this status.
+    Answered(u16),
+    /// There was no answer, or none that can be read: whether the platform has accepted the call is unknown.
+    Unclear,
+}
+
+/// Numbers of attempts by their end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallStatistics {
+    /// Attempts that were written to the platform's socket.
+    pub written: u64,
+    /// Attempts that the platform acknowledged.
+    pub acknowledged: u64,
+    /// Attempts that the platform rejected because it had seen a higher token.
+    pub fenced: u64,
+    /// Attempts that the platform answered otherwise.
+    pub rejected: u64,
+    /// Attempts that ended unclear, for any reason but the time limit.
+    pub unclear: u64,
+    /// Attempts that were given up at their time limit.
+    pub timed_out: u64,
+}
+
+/// Attempt that has no end yet.
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    id: CallId,
+    window: WindowNumber,
+    deadline: Nanos,
+    /// Token that was written; None before.
+    written: Option<DutyToken>,
+}
+
+/// Attempts of the calls, one at a time.
+#[derive(Clone, Debug)]
+pub(crate) struct PlatformCalls {
+    attempt: Option<Attempt>,
+    last_id: u64,
+    not_before: Nanos,
+    /// Number of attempts in a row that were not acknowledged.
+    failures: u32,
+    /// Number of attempts in a row that were written and not answered within their time limit.
+    timeouts: u32,
+    random: u64,
+    statistics: CallStatistics,
+}
+
+impl PlatformCalls {
+    pub(crate) fn new(seed: u64) -> PlatformCalls {
+        PlatformCalls {
+            attempt: None,
+            last_id: 0,
+            not_before: Nanos(0),
+            failures: 0,
+            timeouts: 0,
+            random: seed,
+            statistics: CallStatistics::default(),
+        }
+    }
+
+    pub(crate) fn statistics(&self) -> CallStatistics {
+        self.statistics
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.attempt.is_none()
+    }
+
+    /// Starts an attempt, if none is outstanding and the pause is over.
+    pub(crate) fn start(
+        &mut self,
+        now: Nanos,
+        window: WindowNumber,
+        settings: &DutySettings,
+    ) -> Option<CallId> {
+        if self.attempt.is_some() || now < self.not_before {
+            return None;
+        }
+        self.last_id += 1;
+        let id = CallId(self.last_id);
+        let deadline = now + settings.connect_timeout();
+        self.attempt = Some(Attempt { id, window, deadline, written: None });
+        self.not_before = now + settings.min_call_interval();
+        Some(id)
+    }
+
+    /// Time limit of the answer. Grows with each attempt that reaches it, so that a platform that is slower than the
+    /// first limit is still heard.
+    fn answer_timeout(&self, settings: &DutySettings) -> Nanos {
+        let factor = 2f64.powi(self.timeouts.min(16) as i32);
+        settings.first_answer_timeout().times(factor).min(settings.usage_delay)
+    }
+
+    /// Window of an attempt that has not been written yet.
+    pub(crate) fn unwritten_window(&self, id: CallId) -> Option<WindowNumber> {
+        let attempt = self.attempt.filter(|attempt| attempt.id == id && attempt.written.is_none());
+        attempt.map(|attempt| attempt.window)
+    }
+
+    /// Records that an attempt is written with this token.
+    pub(crate) fn mark_written(&mut self, now: Nanos, token: DutyToken, settings: &DutySettings) {
+        let timeout = self.answer_timeout(settings);
+        if let Some(attempt) = &mut self.attempt {
+            attempt.written = Some(token);
+            attempt.deadline = now + timeout;
+            self.statistics.written += 1;
+        }
+    }
+
+    /// Gives up the attempt if it has not been written yet. Returns its identifier.
+    pub(crate) fn abandon_unwritten(&mut self) -> Option<CallId> {
+        self.attempt.take_if(|attempt| attempt.written.is_none()).map(|attempt| attempt.id)
+    }
+
+    /// Gives up the attempt if its time limit has passed. Returns its identifier.
+    pub(crate) fn expire(&mut self, now: Nanos, settings: &DutySettings) -> Option<CallId> {
+        let attempt = self.attempt.take_if(|attempt| attempt.deadline <= now)?;
+        self.statistics.timed_out += 1;
+        self.timeouts += u32::from(attempt.written.is_some());
+        self.pause(now, settings);
+        Some(attempt.id)
+    }
+
+    /// Ends the attempt with this identifier. Returns the window that is acknowledged, or the token that is fenced.
+    pub(crate) fn finish(
+        &mut self,
+        now: Nanos,
+        id: CallId,
+        outcome: CallOutcome,
+        settings: &DutySettings,
+    ) -> Option<FinishedCall> {
+        let attempt = self.attempt.take_if(|attempt| attempt.id == id)?;
+        if let CallOutcome::Answered(_) = outcome {
+            self.timeouts = 0;
+        }
+        match (outcome, attempt.written) {
+            (CallOutcome::Answered(OK), Some(_)) => {
+                self.failures = 0;
+                self.statistics.acknowledged += 1;
+                return Some(FinishedCall::Acknowledged(attempt.window));
+            }
+            (CallOutcome::Answered(CONFLICT), Some(token)) => {
+                self.statistics.fenced += 1;
+                self.pause(now, settings);
+                return Some(FinishedCall::Fenced(token));
+            }
+            (CallOutcome::Answered(_), Some(_)) => self.statistics.rejected += 1,
+            // An answer before the request has no meaning.
+            (CallOutcome::Answered(_), None) | (CallOutcome::Unclear, _) => self.statistics.unclear += 1,
+        }
+        self.pause(now, settings);
+        None
+    }
+
+    /// Waits before the next attempt, longer after each that was not acknowledged, and by a random share.
+    fn pause(&mut self, now: Nanos, settings: &DutySettings) {
+        let longest = settings.first_pause().times(2f64.powi(self.failures.min(16) as i32));
+        let longest = longest.min(settings.max_pause());
+        self.failures += 1;
+        self.random = splitmix64(self.random);
+        let random_share = (self.random >> 32) as f64 / f64::from(u32::MAX);
+        let share = MIN_PAUSE_SHARE + (1.0 - MIN_PAUSE_SHARE) * random_share;
+        self.not_before = self.not_before.max(now + longest.times(share));
+    }
+
+    /// Earliest time of the next attempt, or the time limit of the outstanding one.
+    pub(crate) fn next_timeout(&self) -> Nanos {
+        self.attempt.map_or(self.not_before, |attempt| attempt.deadline)
+    }
+}
+
+/// Result of a call that changes more than the pause before the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FinishedCall {
+    /// The platform has acknowledged this window.
+    Acknowledged(WindowNumber),
+    /// The platform has seen a higher token than this one.
+    Fenced(DutyToken),
+}
+
+/// Returns the body of the report on a window, as JSON with the keys in this order.
+pub(crate) fn report_body(fixed: &FixedWindow) -> Vec<u8> {
+    let counts = fixed.counts.iter();
+    let counts: Vec<String> =
+        counts.map(|(tenant, count)| format!("{}:{count}", serde_json::json!(tenant))).collect();
+    format!(r#"{{"window":{},"counts":{{{}}}}}"#, fixed.window.0, counts.join(",")).into_bytes()
+}
