--- a/crates/fernknot-controller/src/action.rs
+++ b/crates/fernknot-controller/src/action.rs
@@ -1,9 +1,9 @@
 //! Actions that the controller requests from its host, and identifiers of callers and subscribers.
 
 use fernknot_consensus::{PersistentState, WriteId};
-use fernknot_duties::CallId;
 use fernknot_http_api::Reply;
 use fernknot_rpc::{ControllerMessage, ControllerToGateway};
+use fernknot_usage_reporting::CallId;
 use log::Level;
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
--- a/crates/fernknot-controller/src/controller/consensus_events.rs
+++ b/crates/fernknot-controller/src/controller/consensus_events.rs
@@ -68,7 +68,7 @@
             }
             ConsensusAction::ViewLeft => {
                 if let Some(usage) = &mut self.usage {
-                    usage.duty.view_left();
+                    usage.reporter.view_left();
                     usage.abandon_proposal();
                 }
                 self.actions.log(
@@ -97,7 +97,7 @@
         self.changes.requeue_all_proposed(now);
         if let Some(usage) = &mut self.usage {
             let is_leader = view.members.first().is_some_and(|leader| leader.addr == self.settings.addr);
-            usage.duty.view_activated(now, view.number.0, is_leader);
+            usage.reporter.view_activated(now, view.number.0, is_leader);
             usage.abandon_proposal();
         }
         view.members.iter().for_each(|member| self.add_peer(member.addr));
@@ -109,7 +109,7 @@
     fn identity_replaced(&mut self) {
         self.active_config = ActiveConfig::empty();
         if let Some(usage) = &mut self.usage {
-            usage.duty.view_left();
+            usage.reporter.view_left();
             usage.abandon_proposal();
             usage.record_committed(None);
         }
--- a/crates/fernknot-controller/src/controller/inspection.rs
+++ b/crates/fernknot-controller/src/controller/inspection.rs
@@ -38,8 +38,8 @@
             ),
             InspectionTopic::Relays => reports::assignment(self.ownership.assignment()),
             InspectionTopic::Ownership => {
-                let duty = self.duty_status().as_ref().map(reports::duty);
-                reports::assignment(self.ownership.assignment()) + &duty.unwrap_or_default()
+                let reporter = self.reporter_status().as_ref().map(reports::reporter);
+                reports::assignment(self.ownership.assignment()) + &reporter.unwrap_or_default()
             }
             InspectionTopic::Counters => {
                 self.refresh_gauges();
--- a/crates/fernknot-controller/src/controller/schedule.rs
+++ b/crates/fernknot-controller/src/controller/schedule.rs
@@ -31,7 +31,7 @@
 
     fn next_usage_timeout(&self) -> Option<Nanos> {
         let usage = self.usage.as_ref()?;
-        usage.next_timeout(self.now(), self.duty_standing(), !self.changes.has_proposal())
+        usage.next_timeout(self.now(), self.lease_state(), !self.changes.has_proposal())
     }
 
     fn run_due_work(&mut self) {
--- a/crates/fernknot-controller/src/controller/state.rs
+++ b/crates/fernknot-controller/src/controller/state.rs
@@ -40,7 +40,7 @@
     pub(super) nodes: NodeRegistry,
     pub(super) ownership: Ownership,
     pub(super) subscribers: Subscribers,
-    /// None without the duty to report usage.
+    /// None without the role of usage reporter.
     pub(super) usage: Option<Usage>,
     pub(super) peers: Peers,
     pub(super) disk: DiskHealth,
@@ -79,8 +79,8 @@
     pub fn with_seeded_bug(settings: ControllerSettings, now: Nanos, bug: Option<SeededBug>) -> Controller {
         let mut peers = Peers::new(settings.addr, settings.suspicion_timeout());
         settings.seeds.iter().for_each(|seed| _ = peers.add(now, *seed));
-        let duty = settings.usage_duty.clone();
-        let usage = duty.map(|duty| Usage::new(duty, settings.contact_timeout, settings.seed));
+        let reporter = settings.usage_reporting.clone();
+        let usage = reporter.map(|reporter| Usage::new(reporter, settings.contact_timeout, settings.seed));
         let subscriber_heartbeat_interval = settings.subscriber_heartbeat_interval();
         Controller {
             dispatcher: Some(dispatcher()),
--- a/crates/fernknot-controller/src/controller/usage.rs
+++ b/crates/fernknot-controller/src/controller/usage.rs
@@ -5,12 +5,12 @@
 use crate::counters as counter;
 use fernknot::interface::Nanos;
 use fernknot_consensus::Revision;
-use fernknot_duties::{
-    Action as DutyAction, CallId, CallOutcome, DutyStatus, Standing, UnixMillis, UsageCall,
-};
 use fernknot_rpc::{ControllerMessage, ControllerToGateway, MAX_ITEMS_PER_MESSAGE};
 use fernknot_telemetry::component;
 use fernknot_usage::{UsageRecord, UsageReport, WindowNumber};
+use fernknot_usage_reporting::{
+    Action as ReporterAction, CallId, CallOutcome, LeaseState, ReporterStatus, UnixMillis, UsageCall,
+};
 use log::Level;
 use std::net::SocketAddrV4;
 
@@ -19,7 +19,7 @@
 
 impl Controller {
     /// Sets the time of day by the clock of the host, in milliseconds since the beginning of 1970. Has no effect without
-    /// the duty to report usage.
+    /// the role of usage reporter.
     pub fn set_time_of_day(&mut self, now: Nanos, unix_ms: u64) {
         self.advance_clock(now);
         if let Some(usage) = &mut self.usage {
@@ -31,20 +31,20 @@
     /// open connection at once. None if this controller may no longer make the call; the connection is then closed.
     pub fn take_platform_call(&mut self, now: Nanos, call: CallId) -> Option<UsageCall> {
         self.advance_clock(now);
-        let standing = self.duty_standing();
-        self.usage.as_mut()?.duty.take_call(now, standing, call)
+        let lease = self.lease_state();
+        self.usage.as_mut()?.reporter.take_call(now, lease, call)
     }
 
     /// Handles the end of a call to the platform.
     pub fn platform_call_finished(&mut self, now: Nanos, call: CallId, outcome: CallOutcome) {
         self.advance_clock(now);
         let Some(usage) = &mut self.usage else { return };
-        if let Some(token) = usage.duty.call_finished(now, call, outcome) {
+        if let Some(token) = usage.reporter.call_finished(now, call, outcome) {
             let text = format!(
                 "the platform has seen a fencing token above {}; no further calls with this one",
                 token.0
             );
-            self.actions.log(Level::Warn, component::DUTIES, text);
+            self.actions.log(Level::Warn, component::USAGE, text);
         }
     }
 
@@ -110,9 +110,9 @@
         }
     }
 
-    /// Standing of this controller in the duty at this moment.
-    pub(super) fn duty_standing(&self) -> Standing {
-        Standing {
+    /// Leadership and lease of this controller at this moment.
+    pub(super) fn lease_state(&self) -> LeaseState {
+        LeaseState {
             view: self.consensus.view().map(|view| view.number.0),
             is_leader: self.consensus.is_leader(),
             has_lease: self.holds_lease(),
@@ -129,21 +129,21 @@
         if !self.changes.has_proposal() && self.consensus.is_started() {
             self.propose_usage();
         }
-        let (now, standing) = (self.now(), self.duty_standing());
+        let (now, lease) = (self.now(), self.lease_state());
         let Some(usage) = &mut self.usage else { return };
-        while let Some(action) = usage.duty.poll_action(now, standing) {
+        while let Some(action) = usage.reporter.poll_action(now, lease) {
             self.actions.push(match action {
-                DutyAction::StartCall(call) => Action::StartPlatformCall { call },
-                DutyAction::AbortCall(call) => Action::AbortPlatformCall { call },
+                ReporterAction::StartCall(call) => Action::StartPlatformCall { call },
+                ReporterAction::AbortCall(call) => Action::AbortPlatformCall { call },
             });
         }
-        self.log_duty_change(standing);
+        self.log_reporter_change(lease);
     }
 
     fn propose_usage(&mut self) {
-        let (now, standing) = (self.now(), self.duty_standing());
+        let (now, lease) = (self.now(), self.lease_state());
         let Some(usage) = &mut self.usage else { return };
-        let Some(record) = usage.next_record(now, standing) else { return };
+        let Some(record) = usage.next_record(now, lease) else { return };
         let id = self.changes.next_proposal_id();
         usage.proposed(now, id);
         let state = self.active_config.with_usage(record);
@@ -160,18 +160,18 @@
         let newly_abandoned = abandoned.saturating_sub(previous.map_or(0, UsageRecord::abandoned));
         if newly_abandoned > 0 {
             let text = format!("gave up {newly_abandoned} windows of usage unreported: too many are waiting");
-            self.actions.log(Level::Warn, component::DUTIES, text);
+            self.actions.log(Level::Warn, component::USAGE, text);
         }
     }
 
-    /// What an operator is shown of the duty to report usage. None without that duty.
-    pub(super) fn duty_status(&self) -> Option<DutyStatus> {
-        self.usage.as_ref().map(|usage| usage.status(self.now(), self.duty_standing()))
+    /// What an operator is shown of the role of usage reporter. None without that role.
+    pub(super) fn reporter_status(&self) -> Option<ReporterStatus> {
+        self.usage.as_ref().map(|usage| usage.status(self.now(), self.lease_state()))
     }
 
-    /// Sets the gauges of the duty, if there is one.
+    /// Sets the gauges of the role, if there is one.
     pub(super) fn refresh_usage_gauges(&mut self) {
-        let (Some(status), Some(usage)) = (self.duty_status(), &self.usage) else { return };
+        let (Some(status), Some(usage)) = (self.reporter_status(), &self.usage) else { return };
         let (calls, totals) = (status.calls, usage.rejected_totals());
         let window = |window: Option<WindowNumber>| window.map_or(0, |window| window.0);
         let gauges = [
@@ -184,7 +184,7 @@
             (counter::USAGE_TOTALS_LATE, totals.late),
             (counter::USAGE_TOTALS_EARLY, totals.early),
             (counter::USAGE_TOTALS_OVER_LIMIT, totals.over_limit),
-            (counter::DUTY_TOKEN, status.token.map_or(0, |token| token.0)),
+            (counter::USAGE_FENCING_TOKEN, status.token.map_or(0, |token| token.0)),
             (counter::USAGE_LAST_FIXED, window(status.last_fixed)),
             (counter::USAGE_LAST_ACKNOWLEDGED, window(status.last_acknowledged)),
             (counter::USAGE_UNREPORTED, status.unreported as u64),
@@ -193,15 +193,15 @@
         gauges.into_iter().for_each(|(name, value)| self.counters.set(name, value));
     }
 
-    fn log_duty_change(&mut self, standing: Standing) {
+    fn log_reporter_change(&mut self, lease: LeaseState) {
         let now = self.now();
         let Some(usage) = &mut self.usage else { return };
-        let token = usage.status(now, standing).token;
+        let token = usage.status(now, lease).token;
         let text = match usage.take_token_change(token) {
             None => return,
-            Some(Some(token)) => format!("holding the duty to report usage, fencing token {}", token.0),
-            Some(None) => "no longer holding the duty to report usage".to_string(),
+            Some(Some(token)) => format!("holding the role of usage reporter, fencing token {}", token.0),
+            Some(None) => "no longer holding the role of usage reporter".to_string(),
         };
-        self.actions.log(Level::Info, component::DUTIES, text);
+        self.actions.log(Level::Info, component::USAGE, text);
     }
 }
--- a/crates/fernknot-controller/src/counters.rs
+++ b/crates/fernknot-controller/src/counters.rs
@@ -53,7 +53,7 @@
 /// Gauge: 1 while the disk is healthy, otherwise 0.
 pub const DISK_HEALTHY: &str = "disk_healthy";
 
-// Duty to report usage; reported only if the platform has it.
+// Role of usage reporter; reported only if the platform wants usage.
 
 /// Calls to the platform that were written to its socket.
 pub const USAGE_CALLS_WRITTEN: &str = "usage_calls_written";
@@ -71,10 +71,10 @@
 pub const USAGE_TOTALS_LATE: &str = "usage_totals_late";
 /// Totals of windows too far ahead of the time of day.
 pub const USAGE_TOTALS_EARLY: &str = "usage_totals_early";
-/// Totals beyond the limits of the ledger.
+/// Totals beyond the limits of the table.
 pub const USAGE_TOTALS_OVER_LIMIT: &str = "usage_totals_over_limit";
 /// Gauge: fencing token under which this controller may call the platform; 0 if it may not.
-pub const DUTY_TOKEN: &str = "duty_token";
+pub const USAGE_FENCING_TOKEN: &str = "usage_fencing_token";
 /// Gauge: last window whose counts are fixed; 0 before the first.
 pub const USAGE_LAST_FIXED: &str = "usage_last_fixed";
 /// Gauge: last window that the platform has acknowledged, as far as known here; 0 before the first.
--- a/crates/fernknot-controller/src/host/connections.rs
+++ b/crates/fernknot-controller/src/host/connections.rs
@@ -1,10 +1,10 @@
 //! Connections of the host, with the role of the process at the other end of each.
 
 use fernknot::interface::Nanos;
-use fernknot_duties::CallId;
 use fernknot_http_api::HttpServerConnection;
 use fernknot_net::ConnectionId;
 use fernknot_protocol::http::ResponseReader;
+use fernknot_usage_reporting::CallId;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
--- a/crates/fernknot-controller/src/host/events.rs
+++ b/crates/fernknot-controller/src/host/events.rs
@@ -5,11 +5,11 @@
 use crate::host::limits::MAX_UNIDENTIFIED_MESSAGE_BYTES;
 use crate::host::state::Host;
 use fernknot::interface::Nanos;
-use fernknot_duties::CallOutcome;
 use fernknot_http_api::{HttpServerConnection, ReadOutcome};
 use fernknot_net::{ConnectionId, Event};
 use fernknot_rpc::{ControllerMessage, GatewayToController, read_message};
 use fernknot_telemetry::component;
+use fernknot_usage_reporting::CallOutcome;
 use std::net::SocketAddrV4;
 
 impl Host {
--- a/crates/fernknot-controller/src/host/platform_calls.rs
+++ b/crates/fernknot-controller/src/host/platform_calls.rs
@@ -3,10 +3,10 @@
 use crate::host::connections::{Connection, ConnectionRole, PlatformCall};
 use crate::host::state::Host;
 use fernknot::interface::Nanos;
-use fernknot_duties::{CallId, CallOutcome, UsageCall};
 use fernknot_net::{Buffer, ConnectionId};
 use fernknot_protocol::http::ResponseReader;
 use fernknot_telemetry::component;
+use fernknot_usage_reporting::{CallId, CallOutcome, UsageCall};
 use std::io::Write;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -27,14 +27,14 @@
                 self.connections.add(id, role, now);
             }
             Err(error) => {
-                log::warn!(target: component::DUTIES, "cannot call the platform: {error}; retrying");
+                log::warn!(target: component::USAGE, "cannot call the platform: {error}; retrying");
                 self.controller.platform_call_finished(now, call, CallOutcome::Unclear);
             }
         }
     }
 
     pub(super) fn abort_platform_call(&mut self, call: CallId) {
-        log::info!(target: component::DUTIES, "gave up call {} to the platform without an answer", call.0);
+        log::info!(target: component::USAGE, "gave up call {} to the platform without an answer", call.0);
         if let Some(id) = self.connections.platform_call(call) {
             self.drop_connection(id);
         }
@@ -74,10 +74,10 @@
         match outcome {
             CallOutcome::Answered(200) => {}
             CallOutcome::Answered(status) => {
-                log::warn!(target: component::DUTIES, "the platform answered call {} with {status}", call.0);
+                log::warn!(target: component::USAGE, "the platform answered call {} with {status}", call.0);
             }
             CallOutcome::Unclear => {
-                log::warn!(target: component::DUTIES, "call {} to the platform ended without an answer", call.0);
+                log::warn!(target: component::USAGE, "call {} to the platform ended without an answer", call.0);
             }
         }
         self.controller.platform_call_finished(now, call, outcome);
--- a/crates/fernknot-controller/src/host/settings.rs
+++ b/crates/fernknot-controller/src/host/settings.rs
@@ -3,8 +3,8 @@
 use crate::host::limits::RESERVED_DESCRIPTORS;
 use crate::settings::ControllerSettings;
 use fernknot::interface::Nanos;
-use fernknot_duties::DutySettings;
 use fernknot_schema::{DigestKey, ProcessSettings};
+use fernknot_usage_reporting::ReportingSettings;
 use std::error::Error;
 use std::fmt::{self, Display, Formatter};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -99,20 +99,20 @@
         budget_window: Nanos::from_millis(settings.bounds.retry_window_s * 1000.0),
         seed,
         digest_key,
-        usage_duty: usage_duty(settings),
+        usage_reporting: usage_reporting(settings),
     }
 }
 
-/// Returns the settings of the duty to report usage, if the platform has it.
-fn usage_duty(settings: &ProcessSettings) -> Option<DutySettings> {
+/// Returns the settings of the role of usage reporter, if the platform has it.
+fn usage_reporting(settings: &ProcessSettings) -> Option<ReportingSettings> {
     let platform = settings.platform_api.as_ref().filter(|platform| platform.wants_usage())?;
     let bounds = &settings.bounds;
-    Some(DutySettings {
+    Some(ReportingSettings {
         holder: settings.node_name.clone(),
         lease: Nanos::from_millis(bounds.lease_ms),
         window: Nanos::from_millis(bounds.report_window_s * 1000.0),
         usage_delay: Nanos::from_millis(bounds.usage_delay_s * 1000.0),
-        calls_per_s: platform.duties_per_s,
+        calls_per_s: platform.calls_per_s,
     })
 }
 
--- a/crates/fernknot-controller/src/reports.rs
+++ b/crates/fernknot-controller/src/reports.rs
@@ -1,10 +1,10 @@
 //! Human-readable reports for operators, as `fernknot show` prints them.
 
 use fernknot_consensus::{Ineligibility, ReplicaStatus, ViewStatus};
-use fernknot_duties::DutyStatus;
 use fernknot_ownership::Assignment;
 use fernknot_registry::NodeRecord;
 use fernknot_usage::WindowNumber;
+use fernknot_usage_reporting::ReporterStatus;
 
 /// Returns the report of `fernknot show nodes`: one line per node, sorted by service and identifier.
 pub fn nodes(up: usize, version: u64, mut records: Vec<NodeRecord>) -> String {
@@ -29,8 +29,8 @@
     report
 }
 
-/// Returns the lines of `fernknot show duties` on the duty to report usage, as this controller sees it.
-pub fn duty(status: &DutyStatus) -> String {
+/// Returns the lines of `fernknot show duties` on the role of usage reporter, as this controller sees it.
+pub fn reporter(status: &ReporterStatus) -> String {
     let holding = match (status.token, status.takeover_wait) {
         (Some(token), _) => format!("held by this controller, fencing token {}", token.0),
         (None, Some(wait)) => format!("this controller leads, may act in {:.0} ms", wait.as_millis()),
@@ -38,7 +38,7 @@
     };
     let window =
         |window: Option<WindowNumber>| window.map_or("none".to_string(), |window| window.0.to_string());
-    let DutyStatus { last_fixed, last_acknowledged, unreported, abandoned, .. } = status;
+    let ReporterStatus { last_fixed, last_acknowledged, unreported, abandoned, .. } = status;
     format!(
         "usage report: {holding}\n\
          usage report: last window fixed {}, last acknowledged {}, {unreported} waiting, {abandoned} given up\n",
--- a/crates/fernknot-controller/src/settings.rs
+++ b/crates/fernknot-controller/src/settings.rs
@@ -2,8 +2,8 @@
 
 use fernknot::interface::Nanos;
 use fernknot_consensus::{ConsensusSettings, Member, MemberId};
-use fernknot_duties::DutySettings;
 use fernknot_schema::DigestKey;
+use fernknot_usage_reporting::ReportingSettings;
 use std::net::SocketAddrV4;
 
 /// Suspicion timeout, after which the consensus members consider a silent one failed, as a share of the contact
@@ -46,8 +46,8 @@
     pub seed: u64,
     /// Secret of the digests that gateways get in place of the tenants' keys.
     pub digest_key: DigestKey,
-    /// Settings of the duty to report the usage of tenants to the platform; None if there is none.
-    pub usage_duty: Option<DutySettings>,
+    /// Settings of the role of usage reporter; None if there is none.
+    pub usage_reporting: Option<ReportingSettings>,
 }
 
 impl ControllerSettings {
--- a/crates/fernknot-controller/src/usage.rs
+++ b/crates/fernknot-controller/src/usage.rs
@@ -1,12 +1,14 @@
 //! Usage of tenants at this controller: totals that gateways have reported, the time of day on which the controllers
-//! agree, and this controller's part in the duty to report it to the platform.
+//! agree, and this controller's part in the role to report it to the platform.
 
 use fernknot::interface::Nanos;
-use fernknot_duties::{DutySettings, DutyStatus, DutyToken, MedianClock, Standing, UnixMillis, UsageDuty};
-use fernknot_usage::{LedgerLimits, RejectedTotals, UsageLedger, UsageRecord, UsageReport};
+use fernknot_usage::{RejectedTotals, TableLimits, UsageRecord, UsageReport, UsageTable};
+use fernknot_usage_reporting::{
+    LeaseState, MedianClock, ReporterStatus, ReporterToken, ReportingSettings, UnixMillis, UsageReporter,
+};
 
 /// Limits of the totals that are held: 20 MB at most, and 1,000 tenants at 90 gateways in five windows.
-const LEDGER_LIMITS: LedgerLimits = LedgerLimits { max_totals: 450_000, max_name_bytes: 256 };
+const TABLE_LIMITS: TableLimits = TableLimits { max_totals: 450_000, max_name_bytes: 256 };
 /// Time after which a proposal without an outcome counts as lost.
 const PROPOSAL_TIMEOUT: Nanos = Nanos(800_000_000);
 /// Delay before a rejected proposal is made again.
@@ -21,25 +23,25 @@
 
 /// Usage of tenants at this controller.
 pub struct Usage {
-    /// This controller's part in the duty.
-    pub duty: UsageDuty,
-    ledger: UsageLedger,
+    /// This controller's part in the role.
+    pub reporter: UsageReporter,
+    table: UsageTable,
     clock: MedianClock,
     /// Totals that gateways have reported and that were not passed on to the other controllers yet.
     unsent: Vec<UsageReport>,
     proposal: Option<PendingProposal>,
     propose_not_before: Nanos,
     /// Token under which this controller acted at the last call of [`take_token_change`](Self::take_token_change).
-    last_token: Option<DutyToken>,
+    last_token: Option<ReporterToken>,
 }
 
 impl Usage {
     /// Creates the usage of a process that has just started. The clock of a controller that is not heard for longer
     /// than `clock_expiry` doesn't count.
-    pub fn new(settings: DutySettings, clock_expiry: Nanos, seed: u64) -> Usage {
+    pub fn new(settings: ReportingSettings, clock_expiry: Nanos, seed: u64) -> Usage {
         Usage {
-            duty: UsageDuty::new(settings, seed),
-            ledger: UsageLedger::new(LEDGER_LIMITS),
+            reporter: UsageReporter::new(settings, seed),
+            table: UsageTable::new(TABLE_LIMITS),
             clock: MedianClock::new(clock_expiry),
             unsent: Vec::new(),
             proposal: None,
@@ -71,8 +73,8 @@
     /// Merges reports. Returns what was new in them.
     pub fn merge(&mut self, now: Nanos, reports: &[UsageReport]) -> Vec<UsageReport> {
         let Some(time_of_day) = self.time_of_day(now) else { return Vec::new() };
-        let open = self.duty.open_windows(time_of_day);
-        reports.iter().filter_map(|report| self.ledger.merge(report, open.clone())).collect()
+        let open = self.reporter.open_windows(time_of_day);
+        reports.iter().filter_map(|report| self.table.merge(report, open.clone())).collect()
     }
 
     /// Adds reports that are to be passed on to the other controllers. Returns how many are waiting.
@@ -88,14 +90,14 @@
 
     /// All totals, for a controller that has connected.
     pub fn snapshot(&self) -> Vec<UsageReport> {
-        self.ledger.snapshot()
+        self.table.snapshot()
     }
 
     /// Takes over the record of a delivered state, and forgets the totals of the windows that it has fixed.
     pub fn record_committed(&mut self, record: Option<&UsageRecord>) {
-        self.duty.record_committed(record);
+        self.reporter.record_committed(record);
         if let Some(record) = record {
-            self.ledger.forget_before(record.next_window());
+            self.table.forget_before(record.next_window());
         }
     }
 
@@ -105,13 +107,13 @@
     }
 
     /// Returns the record to be proposed now, if there is one and no proposal is in flight.
-    pub fn next_record(&mut self, now: Nanos, standing: Standing) -> Option<UsageRecord> {
+    pub fn next_record(&mut self, now: Nanos, lease: LeaseState) -> Option<UsageRecord> {
         let time_of_day = self.time_of_day(now)?;
-        self.duty.time_known(time_of_day);
+        self.reporter.time_known(time_of_day);
         if self.is_proposing(now) || now < self.propose_not_before {
             return None;
         }
-        self.duty.next_record(standing, time_of_day, &self.ledger)
+        self.reporter.next_record(lease, time_of_day, &self.table)
     }
 
     /// Records that a record is proposed with this number.
@@ -137,30 +139,30 @@
     }
 
     /// Returns the token under which this controller may act, if that has changed since the last call.
-    pub fn take_token_change(&mut self, token: Option<DutyToken>) -> Option<Option<DutyToken>> {
+    pub fn take_token_change(&mut self, token: Option<ReporterToken>) -> Option<Option<ReporterToken>> {
         (std::mem::replace(&mut self.last_token, token) != token).then_some(token)
     }
 
     /// Numbers of totals that were not taken over.
     pub fn rejected_totals(&self) -> RejectedTotals {
-        self.ledger.rejected()
+        self.table.rejected()
     }
 
-    /// What an operator is shown of the duty.
-    pub fn status(&self, now: Nanos, standing: Standing) -> DutyStatus {
-        self.duty.status(now, standing)
+    /// What an operator is shown of the role.
+    pub fn status(&self, now: Nanos, lease: LeaseState) -> ReporterStatus {
+        self.reporter.status(now, lease)
     }
 
     /// Returns the time of the next step if no input arrives. `may_propose` is false while another proposal of this
     /// controller is in flight, whose end is an input.
-    pub fn next_timeout(&self, now: Nanos, standing: Standing, may_propose: bool) -> Option<Nanos> {
-        let call = self.duty.next_call_timeout(now, standing);
+    pub fn next_timeout(&self, now: Nanos, lease: LeaseState, may_propose: bool) -> Option<Nanos> {
+        let call = self.reporter.next_call_timeout(now, lease);
         let pending = self.proposal.filter(|proposal| now < proposal.deadline);
         let closing = match pending {
             Some(proposal) => Some(proposal.deadline),
             None if may_propose => {
                 let time_of_day = self.time_of_day(now);
-                let closing = time_of_day.and_then(|time| self.duty.next_closing(now, standing, time));
+                let closing = time_of_day.and_then(|time| self.reporter.next_closing(now, lease, time));
                 closing.map(|closing| closing.max(self.propose_not_before))
             }
             None => None,
--- a/crates/fernknot-controller/tests/common/mod.rs
+++ b/crates/fernknot-controller/tests/common/mod.rs
@@ -12,9 +12,9 @@
 use fernknot::interface::Nanos;
 use fernknot_consensus::{Message, PersistentState, WriteId};
 use fernknot_controller::{Action, Controller, ControllerSettings, SeededBug};
-use fernknot_duties::{CallId, CallOutcome, DutySettings, UsageCall};
 use fernknot_rpc::{ControllerMessage, ControllerToGateway};
 use fernknot_schema::DigestKey;
+use fernknot_usage_reporting::{CallId, CallOutcome, ReportingSettings, UsageCall};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -80,8 +80,8 @@
     last_id: u64,
     /// Number of messages between controllers so far, without heartbeats.
     pub message_count: u64,
-    /// Duty to report usage, of the controllers that are started from now on.
-    pub usage_duty: Option<DutySettings>,
+    /// Role to report usage, of the controllers that are started from now on.
+    pub usage_reporting: Option<ReportingSettings>,
     pub platform: Platform,
     /// Difference between the time of day of a machine and the right one, in milliseconds.
     pub clock_error_ms: BTreeMap<usize, i64>,
@@ -115,9 +115,13 @@
         Cluster::create(count, seeds, tolerated_losses, seeded_bug, None)
     }
 
-    /// Creates a cluster of `count` controllers with the duty to report usage.
-    pub fn with_usage_duty(count: usize, tolerated_losses: usize, usage_duty: DutySettings) -> Cluster {
-        Cluster::create(count, count, tolerated_losses, None, Some(usage_duty))
+    /// Creates a cluster of `count` controllers with the role of usage reporter.
+    pub fn with_usage_reporting(
+        count: usize,
+        tolerated_losses: usize,
+        usage_reporting: ReportingSettings,
+    ) -> Cluster {
+        Cluster::create(count, count, tolerated_losses, None, Some(usage_reporting))
     }
 
     fn create(
@@ -125,7 +129,7 @@
         seeds: usize,
         tolerated_losses: usize,
         seeded_bug: Option<SeededBug>,
-        usage_duty: Option<DutySettings>,
+        usage_reporting: Option<ReportingSettings>,
     ) -> Cluster {
         let mut cluster = Cluster {
             now: Nanos(1),
@@ -141,7 +145,7 @@
             received: BTreeMap::new(),
             last_id: 0,
             message_count: 0,
-            usage_duty,
+            usage_reporting,
             platform: Platform::default(),
             clock_error_ms: BTreeMap::new(),
             frozen: BTreeMap::new(),
@@ -157,7 +161,8 @@
         self.last_sequence += 1;
         let incarnation = self.last_sequence;
         let holder = format!("core-{machine_id}");
-        let usage_duty = self.usage_duty.clone().map(|duty| DutySettings { holder, ..duty });
+        let usage_reporting =
+            self.usage_reporting.clone().map(|reporter| ReportingSettings { holder, ..reporter });
         let settings = ControllerSettings {
             addr: addr(machine_id),
             zone: format!("zone-{machine_id}"),
@@ -170,7 +175,7 @@
             budget_window: ms(10_000),
             seed: incarnation * 1_000_003,
             digest_key: DigestKey::new([machine_id as u8; DigestKey::BYTES]),
-            usage_duty,
+            usage_reporting,
         };
         let machine = self.machines.entry(machine_id).or_insert_with(|| Machine {
             controller: None,
@@ -349,7 +354,7 @@
         if self.frozen.contains_key(&machine_id) {
             return;
         }
-        if self.usage_duty.is_some() {
+        if self.usage_reporting.is_some() {
             self.set_time_of_day(machine_id);
         }
         let now = self.now;
--- a/crates/fernknot-controller/tests/common/platform.rs
+++ b/crates/fernknot-controller/tests/common/platform.rs
@@ -1,13 +1,13 @@
-//! The platform's side of the duty to report usage, with a checker of the rules that hold for it.
+//! The platform's side of the role of usage reporter, with a checker of the rules that hold for it.
 
 use super::{START_UNIX_MS, ms};
 use fernknot::interface::Nanos;
-use fernknot_duties::{CallOutcome, UsageCall};
+use fernknot_usage_reporting::{CallOutcome, UsageCall};
 use std::collections::BTreeMap;
 
 /// Length of a window, in milliseconds.
 const WINDOW_MS: u64 = 5000;
-/// Time within which the duty may not return to an earlier holder.
+/// Time within which the role may not return to an earlier holder.
 const LEASE: Nanos = Nanos(3_000_000_000);
 
 /// What the platform does with a call.
--- a/crates/fernknot-controller/tests/usage_duty.rs
+++ b/crates/fernknot-controller/tests/usage_reporting.rs
@@ -6,23 +6,23 @@
 use common::{Cluster, PlatformMode, START_UNIX_MS, WriteMode, config_json, ms};
 use fernknot::interface::Nanos;
 use fernknot_controller::SubscriberId;
-use fernknot_duties::DutySettings;
 use fernknot_ownership::IncarnationId;
 use fernknot_rpc::{ControllerToGateway, GatewayToController, InspectionTopic, Subscription};
 use fernknot_usage::{UsageReport, WindowNumber, WindowUsage};
+use fernknot_usage_reporting::ReportingSettings;
 use test_case::test_case;
 
 const USAGE_DELAY: Nanos = Nanos(10_000_000_000);
 
 fn cluster(count: usize, tolerated_losses: usize) -> Cluster {
-    let duty = DutySettings {
+    let reporter = ReportingSettings {
         holder: String::new(),
         lease: ms(3000),
         window: ms(5000),
         usage_delay: USAGE_DELAY,
         calls_per_s: 50.0,
     };
-    Cluster::with_usage_duty(count, tolerated_losses, duty)
+    Cluster::with_usage_reporting(count, tolerated_losses, reporter)
 }
 
 fn current_window(cluster: &Cluster) -> u64 {
@@ -304,7 +304,7 @@
     assert!(report.contains(windows), "{report}");
     let (status, counters) = cluster.get(leader, "GET /-/counters HTTP/1.1\r\n");
     assert_eq!(status, 200);
-    for counter in ["\"duty_token\":1", "\"usage_last_fixed\":1002", "\"usage_calls_fenced\":0"] {
+    for counter in ["\"usage_fencing_token\":1", "\"usage_last_fixed\":1002", "\"usage_calls_fenced\":0"] {
         assert!(counters.replace(' ', "").contains(counter), "{counter} in {counters}");
     }
 }
--- a/crates/fernknot-schema/src/process_settings.rs
+++ b/crates/fernknot-schema/src/process_settings.rs
@@ -11,7 +11,7 @@
 /// Value in [`ProcessSettings::serves`] for a process that nodes and the operator call.
 pub(crate) const SERVES_CONTROL_PLANE: &str = "control_plane";
 /// Name of the duty to report the usage of tenants.
-const METERING_DUTY: &str = "metering";
+const METERING: &str = "metering";
 
 /// Validated settings file of a process.
 #[derive(Clone, Debug, PartialEq)]
@@ -82,15 +82,15 @@
     /// Address for calls.
     pub address: SocketAddrV4,
     /// Names of the duties that are due to the platform.
-    pub duties: Vec<String>,
+    pub roles: Vec<String>,
     /// Largest number of such calls a second, of all processes together; the platform rejects those beyond it.
-    pub duties_per_s: f64,
+    pub calls_per_s: f64,
 }
 
 impl PlatformApi {
     /// Returns whether the usage of tenants has to be reported to the platform.
     pub fn wants_usage(&self) -> bool {
-        self.duties.iter().any(|duty| duty == METERING_DUTY)
+        self.roles.iter().any(|role| role == METERING)
     }
 }
 
--- a/crates/fernknot-schema/src/process_settings_parser.rs
+++ b/crates/fernknot-schema/src/process_settings_parser.rs
@@ -13,7 +13,7 @@
 
 const EXPECTED_SOCKET_ADDRESS: &str = "an IPv4 address with a port";
 const DEFAULT_HEARTBEAT_INTERVAL_MS: f64 = 1000.0;
-const DEFAULT_DUTIES_PER_S: f64 = 10.0;
+const DEFAULT_CALLS_PER_S: f64 = 10.0;
 const DEFAULT_DISCOVERY: &str = "registry";
 const DEFAULT_CLIENT_ENTRY: &str = "vip";
 
@@ -75,9 +75,9 @@
     root.get("cloud_api")?;
     let api = root.nested("cloud_api");
     api.require(&["address"]);
-    let duties_per_s = api.positive_or("duty_per_s", DEFAULT_DUTIES_PER_S);
-    let duties = api.list("duties", "a string");
-    Some(PlatformApi { address: api.parsed("address", EXPECTED_SOCKET_ADDRESS)?, duties, duties_per_s })
+    let calls_per_s = api.positive_or("duty_per_s", DEFAULT_CALLS_PER_S);
+    let roles = api.list("duties", "a string");
+    Some(PlatformApi { address: api.parsed("address", EXPECTED_SOCKET_ADDRESS)?, roles, calls_per_s })
 }
 
 fn parse_bind_addrs(bind: &ObjectReader<'_>) -> BindAddrs {
--- a/crates/fernknot-simulator/src/controllers/process.rs
+++ b/crates/fernknot-simulator/src/controllers/process.rs
@@ -62,7 +62,7 @@
             budget_window: BUDGET_WINDOW,
             seed: splitmix64(self.settings.seed ^ incarnation.rotate_left(32)) | 1,
             digest_key: DigestKey::new([index as u8; DigestKey::BYTES]),
-            usage_duty: None,
+            usage_reporting: None,
         };
         let bug = match self.settings.seeded_bug {
             Some(SeededBug::Controller(bug)) => Some(bug),
--- a/crates/fernknot-telemetry/src/component.rs
+++ b/crates/fernknot-telemetry/src/component.rs
@@ -15,6 +15,6 @@
 /// Liveness of the gateways, and the assignments by which they own keys (roles that one gateway has at a time).
 pub const OWNERSHIP: &str = "ownership";
 /// Calls to the platform that one process at a time makes.
-pub const DUTIES: &str = "duties";
+pub const USAGE: &str = "usage";
 /// Disk storage.
 pub const STORAGE: &str = "storage";
--- a/crates/fernknot-duties/src/holder.rs
+++ b/crates/fernknot-usage-reporting/src/holder.rs
@@ -1,14 +1,15 @@
-//! Whether this controller may act as the holder of the duty.
+//! Whether this controller may act as the holder of the role.
 
 use fernknot::interface::Nanos;
 
-/// Fencing token of the duty: the number of the view in which the holder acts. It rises with each change of the holder, and a view has one leader.
+/// Fencing token of the role: the number of the view in which the holder acts. It rises with each change of the holder,
+/// and a view has one leader.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct DutyToken(pub u64);
+pub struct ReporterToken(pub u64);
 
-/// Standing of this controller at a point in time.
+/// Leadership and lease of this controller at a point in time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Standing {
+pub struct LeaseState {
     /// Number of the active view that this controller is a member of; None if there is none.
     pub view: Option<u64>,
     /// Whether this controller leads that view.
@@ -34,7 +35,7 @@
     takeover_wait: Nanos,
     activated: Option<ActivatedView>,
     /// Highest token with which a call was refused because the platform had seen a higher one.
-    fenced: Option<DutyToken>,
+    fenced: Option<ReporterToken>,
 }
 
 impl HolderRight {
@@ -43,7 +44,7 @@
     }
 
     /// Records the activation of a view. The leader of the view just before goes on at once; any other leader waits, so
-    /// that the duty doesn't return to a holder within a lease.
+    /// that the role doesn't return to a holder within a lease.
     pub(crate) fn view_activated(&mut self, now: Nanos, number: u64, is_leader: bool) {
         let previous = self.activated.filter(|previous| previous.is_leader && is_leader);
         let next_number = |previous: &ActivatedView| previous.number.saturating_add(1);
@@ -59,7 +60,7 @@
     }
 
     /// Records that the platform has seen a higher token than this one.
-    pub(crate) fn fence(&mut self, token: DutyToken) {
+    pub(crate) fn fence(&mut self, token: ReporterToken) {
         self.fenced = self.fenced.max(Some(token));
     }
 
@@ -69,11 +70,11 @@
     }
 
     /// Returns the token under which this controller may act now, or None if it may not.
-    pub(crate) fn token(&self, now: Nanos, standing: Standing) -> Option<DutyToken> {
+    pub(crate) fn token(&self, now: Nanos, lease: LeaseState) -> Option<ReporterToken> {
         let activated = self.activated?;
-        let token = DutyToken(activated.number);
-        let leads = standing.is_leader && standing.has_lease && !standing.is_stopping;
-        let is_current = standing.view == Some(activated.number) && activated.is_leader;
+        let token = ReporterToken(activated.number);
+        let leads = lease.is_leader && lease.has_lease && !lease.is_stopping;
+        let is_current = lease.view == Some(activated.number) && activated.is_leader;
         let is_fenced = self.fenced.is_some_and(|fenced| token <= fenced);
         (leads && is_current && now >= activated.acts_from && !is_fenced).then_some(token)
     }
--- a/crates/fernknot-duties/src/platform_call.rs
+++ b/crates/fernknot-usage-reporting/src/platform_call.rs
@@ -1,7 +1,7 @@
 //! The one outstanding call to the platform: attempts, time limits and retries.
 
-use crate::holder::DutyToken;
-use crate::settings::DutySettings;
+use crate::holder::ReporterToken;
+use crate::settings::ReportingSettings;
 use fernknot::interface::Nanos;
 use fernknot_ownership::splitmix64;
 use fernknot_usage::{FixedWindow, WindowNumber};
@@ -23,7 +23,7 @@
     /// Value of `Duty-Holder`.
     pub holder: String,
     /// Value of `Fence-Token`.
-    pub token: DutyToken,
+    pub token: ReporterToken,
     /// Window that is reported.
     pub window: WindowNumber,
     /// Body, as JSON; the same bytes for every attempt of every holder.
@@ -63,7 +63,7 @@
     window: WindowNumber,
     deadline: Nanos,
     /// Token that was written; None before.
-    written: Option<DutyToken>,
+    written: Option<ReporterToken>,
 }
 
 /// Attempts of the calls, one at a time.
@@ -106,7 +106,7 @@
         &mut self,
         now: Nanos,
         window: WindowNumber,
-        settings: &DutySettings,
+        settings: &ReportingSettings,
     ) -> Option<CallId> {
         if self.attempt.is_some() || now < self.not_before {
             return None;
@@ -121,7 +121,7 @@
 
     /// Time limit of the answer. Grows with each attempt that reaches it, so that a platform that is slower than the
     /// first limit is still heard.
-    fn answer_timeout(&self, settings: &DutySettings) -> Nanos {
+    fn answer_timeout(&self, settings: &ReportingSettings) -> Nanos {
         let factor = 2f64.powi(self.timeouts.min(16) as i32);
         settings.first_answer_timeout().times(factor).min(settings.usage_delay)
     }
@@ -133,7 +133,7 @@
     }
 
     /// Records that an attempt is written with this token.
-    pub(crate) fn mark_written(&mut self, now: Nanos, token: DutyToken, settings: &DutySettings) {
+    pub(crate) fn mark_written(&mut self, now: Nanos, token: ReporterToken, settings: &ReportingSettings) {
         let timeout = self.answer_timeout(settings);
         if let Some(attempt) = &mut self.attempt {
             attempt.written = Some(token);
@@ -148,7 +148,7 @@
     }
 
     /// Gives up the attempt if its time limit has passed. Returns its identifier.
-    pub(crate) fn expire(&mut self, now: Nanos, settings: &DutySettings) -> Option<CallId> {
+    pub(crate) fn expire(&mut self, now: Nanos, settings: &ReportingSettings) -> Option<CallId> {
         let attempt = self.attempt.take_if(|attempt| attempt.deadline <= now)?;
         self.statistics.timed_out += 1;
         self.timeouts += u32::from(attempt.written.is_some());
@@ -162,7 +162,7 @@
         now: Nanos,
         id: CallId,
         outcome: CallOutcome,
-        settings: &DutySettings,
+        settings: &ReportingSettings,
     ) -> Option<FinishedCall> {
         let attempt = self.attempt.take_if(|attempt| attempt.id == id)?;
         if let CallOutcome::Answered(_) = outcome {
@@ -188,7 +188,7 @@
     }
 
     /// Waits before the next attempt, longer after each that was not acknowledged, and by a random share.
-    fn pause(&mut self, now: Nanos, settings: &DutySettings) {
+    fn pause(&mut self, now: Nanos, settings: &ReportingSettings) {
         let longest = settings.first_pause().times(2f64.powi(self.failures.min(16) as i32));
         let longest = longest.min(settings.max_pause());
         self.failures += 1;
@@ -210,7 +210,7 @@
     /// The platform has acknowledged this window.
     Acknowledged(WindowNumber),
     /// The platform has seen a higher token than this one.
-    Fenced(DutyToken),
+    Fenced(ReporterToken),
 }
 
 /// Returns the body of the report on a window, as JSON with the keys in this order.
--- a/crates/fernknot-duties/src/usage_duty.rs
+++ b/crates/fernknot-usage-reporting/src/reporter.rs
@@ -1,14 +1,14 @@
-//! One controller's part in the duty to report usage.
+//! One controller's part in the role of usage reporter.
 
 use crate::clock::UnixMillis;
-use crate::holder::{DutyToken, HolderRight, Standing};
+use crate::holder::{HolderRight, LeaseState, ReporterToken};
 use crate::platform_call::{
     CallId, CallOutcome, CallStatistics, FinishedCall, PlatformCalls, UsageCall, report_body,
 };
-use crate::settings::DutySettings;
+use crate::settings::ReportingSettings;
 use crate::window_closing::{close_windows, first_record, open_windows};
 use fernknot::interface::Nanos;
-use fernknot_usage::{FixedWindow, UsageLedger, UsageRecord, WindowNumber};
+use fernknot_usage::{FixedWindow, UsageRecord, UsageTable, WindowNumber};
 use std::ops::RangeInclusive;
 
 /// Nanoseconds in a millisecond.
@@ -17,17 +17,17 @@
 /// Step for the controller to carry out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Connect to the platform, then pass [`UsageDuty::take_call`] this identifier and write what it returns.
+    /// Connect to the platform, then pass [`UsageReporter::take_call`] this identifier and write what it returns.
     StartCall(CallId),
     /// Give up an attempt: close its connection. No outcome follows.
     AbortCall(CallId),
 }
 
-/// What an operator is shown of the duty.
+/// What an operator is shown of the role.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DutyStatus {
+pub struct ReporterStatus {
     /// Token under which this controller may act; None if it may not.
-    pub token: Option<DutyToken>,
+    pub token: Option<ReporterToken>,
     /// Time until this controller may act, if it leads and waits because another one may have acted before.
     pub takeover_wait: Option<Nanos>,
     /// Last window whose counts are fixed.
@@ -42,13 +42,13 @@
     pub calls: CallStatistics,
 }
 
-/// One controller's part in the duty to report usage.
+/// One controller's part in the role of usage reporter.
 ///
 /// Only windows that were delivered as committed are reported, in order, and always with the same bytes. A new holder
 /// reports again what is not known to be acknowledged.
 #[derive(Clone, Debug)]
-pub struct UsageDuty {
-    settings: DutySettings,
+pub struct UsageReporter {
+    settings: ReportingSettings,
     right: HolderRight,
     calls: PlatformCalls,
     /// Record of the newest committed state.
@@ -58,10 +58,10 @@
     first_window: Option<WindowNumber>,
 }
 
-impl UsageDuty {
+impl UsageReporter {
     /// Creates the part of a process that has just started. `seed` determines the random share of pauses.
-    pub fn new(settings: DutySettings, seed: u64) -> UsageDuty {
-        UsageDuty {
+    pub fn new(settings: ReportingSettings, seed: u64) -> UsageReporter {
+        UsageReporter {
             right: HolderRight::new(settings.takeover_wait()),
             calls: PlatformCalls::new(seed),
             committed: None,
@@ -94,7 +94,7 @@
     }
 
     /// Handles the end of an attempt. Returns the token if the platform has seen a higher one.
-    pub fn call_finished(&mut self, now: Nanos, id: CallId, outcome: CallOutcome) -> Option<DutyToken> {
+    pub fn call_finished(&mut self, now: Nanos, id: CallId, outcome: CallOutcome) -> Option<ReporterToken> {
         match self.calls.finish(now, id, outcome, &self.settings)? {
             FinishedCall::Acknowledged(window) => {
                 self.last_acknowledged = self.last_acknowledged.max(Some(window));
@@ -109,12 +109,12 @@
 
     // Outputs.
 
-    /// Returns the next action, or None if there is none. `standing` is that of this moment.
-    pub fn poll_action(&mut self, now: Nanos, standing: Standing) -> Option<Action> {
+    /// Returns the next action, or None if there is none. `lease` is that of this moment.
+    pub fn poll_action(&mut self, now: Nanos, lease: LeaseState) -> Option<Action> {
         if let Some(id) = self.calls.expire(now, &self.settings) {
             return Some(Action::AbortCall(id));
         }
-        if self.right.token(now, standing).is_none() {
+        if self.right.token(now, lease).is_none() {
             // What has been written may still be acknowledged.
             return self.calls.abandon_unwritten().map(Action::AbortCall);
         }
@@ -124,9 +124,9 @@
 
     /// Returns the content of a call, to be written at once, if this controller may still act at this moment; otherwise
     /// the attempt ends, and the connection has to be closed.
-    pub fn take_call(&mut self, now: Nanos, standing: Standing, id: CallId) -> Option<UsageCall> {
+    pub fn take_call(&mut self, now: Nanos, lease: LeaseState, id: CallId) -> Option<UsageCall> {
         let window = self.calls.unwritten_window(id)?;
-        let token = self.right.token(now, standing);
+        let token = self.right.token(now, lease);
         let fixed = self.committed.iter().flat_map(UsageRecord::unreported);
         let fixed = fixed.into_iter().find(|fixed| fixed.window == window);
         let (Some(token), Some(fixed)) = (token, fixed) else {
@@ -141,18 +141,18 @@
     /// Returns the record to be proposed as the successor of the committed one, or None if no window has closed since.
     pub fn next_record(
         &self,
-        standing: Standing,
+        lease: LeaseState,
         time_of_day: UnixMillis,
-        ledger: &UsageLedger,
+        table: &UsageTable,
     ) -> Option<UsageRecord> {
-        if !may_propose(standing) {
+        if !may_propose(lease) {
             return None;
         }
         let record = match &self.committed {
             Some(record) => record.clone(),
-            None => first_record(self.first_window?, ledger),
+            None => first_record(self.first_window?, table),
         };
-        let mut record = close_windows(&self.settings, time_of_day, record, ledger)?;
+        let mut record = close_windows(&self.settings, time_of_day, record, table)?;
         if let Some(window) = self.last_acknowledged {
             record.remove_reported(window);
         }
@@ -166,20 +166,20 @@
 
     /// Returns the time at which [`poll_action`](Self::poll_action) may have something new if no input arrives. None if
     /// that depends on inputs alone.
-    pub fn next_call_timeout(&self, now: Nanos, standing: Standing) -> Option<Nanos> {
+    pub fn next_call_timeout(&self, now: Nanos, lease: LeaseState) -> Option<Nanos> {
         if !self.calls.is_idle() {
             return Some(self.calls.next_timeout());
         }
         self.next_to_report()?;
         let acts_from = self.right.acts_from()?;
-        let may_act_later = self.right.token(now.max(acts_from), standing).is_some();
+        let may_act_later = self.right.token(now.max(acts_from), lease).is_some();
         may_act_later.then(|| self.calls.next_timeout().max(acts_from))
     }
 
     /// Returns the time at which [`next_record`](Self::next_record) may have something new if no input arrives. None if
     /// this controller may not propose.
-    pub fn next_closing(&self, now: Nanos, standing: Standing, time_of_day: UnixMillis) -> Option<Nanos> {
-        if !may_propose(standing) {
+    pub fn next_closing(&self, now: Nanos, lease: LeaseState, time_of_day: UnixMillis) -> Option<Nanos> {
+        if !may_propose(lease) {
             return None;
         }
         let window = self.committed.as_ref().map(UsageRecord::next_window).or(self.first_window)?;
@@ -188,15 +188,15 @@
     }
 
     /// What an operator is shown.
-    pub fn status(&self, now: Nanos, standing: Standing) -> DutyStatus {
+    pub fn status(&self, now: Nanos, lease: LeaseState) -> ReporterStatus {
         let committed = self.committed.as_ref();
         let unreported = committed.map_or(&[][..], UsageRecord::unreported);
-        let wait = self.right.acts_from().filter(|acts_from| standing.is_leader && *acts_from > now);
+        let wait = self.right.acts_from().filter(|acts_from| lease.is_leader && *acts_from > now);
         let next = committed.map(UsageRecord::next_window);
         let first_unreported = unreported.first().map(|fixed| fixed.window).or(next);
         let recorded = first_unreported.and_then(previous);
-        DutyStatus {
-            token: self.right.token(now, standing),
+        ReporterStatus {
+            token: self.right.token(now, lease),
             takeover_wait: wait.map(|acts_from| acts_from - now),
             last_fixed: next.and_then(previous),
             last_acknowledged: recorded.max(self.last_acknowledged),
@@ -216,8 +216,8 @@
     }
 }
 
-fn may_propose(standing: Standing) -> bool {
-    standing.is_leader && standing.has_lease && !standing.is_stopping
+fn may_propose(lease: LeaseState) -> bool {
+    lease.is_leader && lease.has_lease && !lease.is_stopping
 }
 
 fn previous(window: WindowNumber) -> Option<WindowNumber> {
--- a/crates/fernknot-duties/src/settings.rs
+++ b/crates/fernknot-usage-reporting/src/settings.rs
@@ -1,4 +1,4 @@
-//! Settings of a duty, and the times derived from them.
+//! Settings of a role, and the times derived from them.
 
 use fernknot::interface::Nanos;
 use fernknot_usage::WindowNumber;
@@ -19,9 +19,9 @@
 /// Longest pause before a retry of a call, as a share of the delay by which usage is due.
 const MAX_PAUSE_SHARE: f64 = 0.1;
 
-/// Settings of the duty to report usage.
+/// Settings of the role of usage reporter.
 #[derive(Clone, Debug, PartialEq)]
-pub struct DutySettings {
+pub struct ReportingSettings {
     /// Name of this process, as the platform knows it.
     pub holder: String,
     /// Time within which the holder may not change back to an earlier one.
@@ -34,7 +34,7 @@
     pub calls_per_s: f64,
 }
 
-impl DutySettings {
+impl ReportingSettings {
     /// Time from the activation of a view until its leader may act, if another one may have led before.
     pub(crate) fn takeover_wait(&self) -> Nanos {
         self.lease.times(TAKEOVER_WAIT_LEASES)
--- a/crates/fernknot-duties/src/window_closing.rs
+++ b/crates/fernknot-usage-reporting/src/window_closing.rs
@@ -1,8 +1,8 @@
 //! Which windows are closed, and the record after their counts are fixed.
 
 use crate::clock::UnixMillis;
-use crate::settings::DutySettings;
-use fernknot_usage::{MAX_UNREPORTED_WINDOWS, UsageLedger, UsageRecord, WindowNumber};
+use crate::settings::ReportingSettings;
+use fernknot_usage::{MAX_UNREPORTED_WINDOWS, UsageRecord, UsageTable, WindowNumber};
 use std::ops::RangeInclusive;
 
 /// Number of windows before the current one whose counts gateways may still report.
@@ -12,7 +12,7 @@
 
 /// Windows whose counts gateways may report at this time of day.
 pub(crate) fn open_windows(
-    settings: &DutySettings,
+    settings: &ReportingSettings,
     time_of_day: UnixMillis,
     record: Option<&UsageRecord>,
 ) -> RangeInclusive<WindowNumber> {
@@ -28,16 +28,16 @@
 
 /// Returns the record before any window is fixed. It begins with the oldest window that was reported, or else with
 /// `first_window`.
-pub(crate) fn first_record(first_window: WindowNumber, ledger: &UsageLedger) -> UsageRecord {
-    UsageRecord::starting_at(ledger.oldest_window().map_or(first_window, |oldest| oldest.min(first_window)))
+pub(crate) fn first_record(first_window: WindowNumber, table: &UsageTable) -> UsageRecord {
+    UsageRecord::starting_at(table.oldest_window().map_or(first_window, |oldest| oldest.min(first_window)))
 }
 
 /// Returns the record with all closed windows fixed, or None if none has closed since the last was fixed.
 pub(crate) fn close_windows(
-    settings: &DutySettings,
+    settings: &ReportingSettings,
     time_of_day: UnixMillis,
     mut record: UsageRecord,
-    ledger: &UsageLedger,
+    table: &UsageTable,
 ) -> Option<UsageRecord> {
     let last_closed = settings.last_closed(time_of_day)?;
     if record.next_window() > last_closed {
@@ -45,7 +45,7 @@
     }
     record.skip_to(oldest_open(settings.window_at(time_of_day)));
     while record.next_window() <= last_closed {
-        record.fix_next(ledger.sums(record.next_window()));
+        record.fix_next(table.sums(record.next_window()));
     }
     Some(record)
 }
--- a/crates/fernknot-duties/tests/common/mod.rs
+++ b/crates/fernknot-usage-reporting/tests/common/mod.rs
@@ -1,10 +1,12 @@
-//! A duty in the standing that a test gives it.
+//! A role in the leadership that a test gives it.
 #![allow(dead_code)] // each test file uses some of the fixtures
 
 use fernknot::interface::Nanos;
-use fernknot_duties::{Action, CallId, DutySettings, Standing, UnixMillis, UsageCall, UsageDuty};
 use fernknot_ownership::IncarnationId;
-use fernknot_usage::{LedgerLimits, UsageLedger, UsageRecord, UsageReport, WindowNumber, WindowUsage};
+use fernknot_usage::{TableLimits, UsageRecord, UsageReport, UsageTable, WindowNumber, WindowUsage};
+use fernknot_usage_reporting::{
+    Action, CallId, LeaseState, ReportingSettings, UnixMillis, UsageCall, UsageReporter,
+};
 
 /// Start of window 1000, in milliseconds since the beginning of 1970.
 pub const WINDOW_1000_MS: u64 = 5_000_000;
@@ -13,8 +15,8 @@
     Nanos(ms * 1_000_000)
 }
 
-pub fn settings(holder: &str) -> DutySettings {
-    DutySettings {
+pub fn settings(holder: &str) -> ReportingSettings {
+    ReportingSettings {
         holder: holder.to_string(),
         lease: ms(3000),
         window: ms(5000),
@@ -23,12 +25,12 @@
     }
 }
 
-pub fn leading(view: u64) -> Standing {
-    Standing { view: Some(view), is_leader: true, has_lease: true, is_stopping: false }
+pub fn leading(view: u64) -> LeaseState {
+    LeaseState { view: Some(view), is_leader: true, has_lease: true, is_stopping: false }
 }
 
-pub fn ledger() -> UsageLedger {
-    UsageLedger::new(LedgerLimits { max_totals: 1000, max_name_bytes: 100 })
+pub fn table() -> UsageTable {
+    UsageTable::new(TableLimits { max_totals: 1000, max_name_bytes: 100 })
 }
 
 pub fn report(incarnation: u64, window: u64, tenant: &str, total: u64) -> UsageReport {
@@ -44,12 +46,12 @@
     record
 }
 
-/// Duty that leads view 1, whose takeover wait is over at [`acting_time`], with windows 1000 to 1002 fixed.
-pub fn acting_duty(holder: &str) -> UsageDuty {
-    let mut duty = UsageDuty::new(settings(holder), 7);
-    duty.view_activated(Nanos(0), 1, true);
-    duty.record_committed(Some(&record(1000..1003)));
-    duty
+/// Role that leads view 1, whose takeover wait is over at [`acting_time`], with windows 1000 to 1002 fixed.
+pub fn acting_reporter(holder: &str) -> UsageReporter {
+    let mut reporter = UsageReporter::new(settings(holder), 7);
+    reporter.view_activated(Nanos(0), 1, true);
+    reporter.record_committed(Some(&record(1000..1003)));
+    reporter
 }
 
 pub fn acting_time() -> Nanos {
@@ -57,17 +59,17 @@
 }
 
 /// Starts an attempt, which has to be due.
-pub fn start(duty: &mut UsageDuty, now: Nanos, standing: Standing) -> CallId {
-    match duty.poll_action(now, standing) {
+pub fn start(reporter: &mut UsageReporter, now: Nanos, lease: LeaseState) -> CallId {
+    match reporter.poll_action(now, lease) {
         Some(Action::StartCall(id)) => id,
         other => panic!("expected a call at {now:?}, not {other:?}"),
     }
 }
 
 /// Starts and writes an attempt, which has to be due.
-pub fn write(duty: &mut UsageDuty, now: Nanos, standing: Standing) -> (CallId, UsageCall) {
-    let id = start(duty, now, standing);
-    let call = duty.take_call(now, standing, id).expect("the duty may act");
+pub fn write(reporter: &mut UsageReporter, now: Nanos, lease: LeaseState) -> (CallId, UsageCall) {
+    let id = start(reporter, now, lease);
+    let call = reporter.take_call(now, lease, id).expect("the reporter may act");
     (id, call)
 }
 
--- a/crates/fernknot-duties/tests/median_clock.rs
+++ b/crates/fernknot-usage-reporting/tests/median_clock.rs
@@ -1,7 +1,7 @@
 //! One clock that steps doesn't change the time of day on which the controllers agree.
 
 use fernknot::interface::Nanos;
-use fernknot_duties::{MedianClock, UnixMillis};
+use fernknot_usage_reporting::{MedianClock, UnixMillis};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 const EXPIRY: Nanos = Nanos(5_000_000_000);
--- a/crates/fernknot-duties/tests/random_schedules.rs
+++ b/crates/fernknot-usage-reporting/tests/random_schedules.rs
@@ -3,11 +3,11 @@
 
 mod common;
 
-use common::{ledger, ms, report, settings, time_of_day};
+use common::{ms, report, settings, table, time_of_day};
 use fernknot::interface::Nanos;
-use fernknot_duties::{Action, CallId, CallOutcome, Standing, UsageCall, UsageDuty};
 use fernknot_ownership::splitmix64;
-use fernknot_usage::{UsageLedger, UsageRecord};
+use fernknot_usage::{UsageRecord, UsageTable};
+use fernknot_usage_reporting::{Action, CallId, CallOutcome, LeaseState, UsageCall, UsageReporter};
 use std::collections::BTreeMap;
 use test_case::test_case;
 
@@ -74,8 +74,8 @@
 }
 
 struct Controller {
-    duty: UsageDuty,
-    ledger: UsageLedger,
+    reporter: UsageReporter,
+    table: UsageTable,
     connection: Option<Connection>,
     frozen_until: u64,
     knows_view: u64,
@@ -84,9 +84,9 @@
 
 impl Controller {
     fn start(id: usize, restarts: u64) -> Controller {
-        let mut duty = UsageDuty::new(settings(NAMES[id]), id as u64);
-        duty.time_known(time_of_day(0));
-        Controller { duty, ledger: ledger(), connection: None, frozen_until: 0, knows_view: 0, restarts }
+        let mut reporter = UsageReporter::new(settings(NAMES[id]), id as u64);
+        reporter.time_known(time_of_day(0));
+        Controller { reporter, table: table(), connection: None, frozen_until: 0, knows_view: 0, restarts }
     }
 }
 
@@ -125,10 +125,10 @@
         self.step >= FAULTY_STEPS
     }
 
-    fn standing(&self, id: usize) -> Standing {
+    fn lease(&self, id: usize) -> LeaseState {
         let is_leader = self.leader == id && self.controllers[id].knows_view == self.view;
         let view = Some(self.controllers[id].knows_view);
-        Standing { view, is_leader, has_lease: is_leader, is_stopping: false }
+        LeaseState { view, is_leader, has_lease: is_leader, is_stopping: false }
     }
 
     fn inject_faults(&mut self) {
@@ -156,8 +156,8 @@
             // Ledgers may differ between controllers; what is fixed is what counts.
             if self.random.one_in(2) {
                 let report = report(1, window, "milo40", self.step);
-                let open = self.controllers[id].duty.open_windows(time_of_day(self.step * STEP_MS));
-                self.controllers[id].ledger.merge(&report, open);
+                let open = self.controllers[id].reporter.open_windows(time_of_day(self.step * STEP_MS));
+                self.controllers[id].table.merge(&report, open);
             }
         }
     }
@@ -169,19 +169,19 @@
         }
         if self.controllers[id].knows_view != self.view {
             self.controllers[id].knows_view = self.view;
-            self.controllers[id].duty.view_activated(now, self.view, self.leader == id);
+            self.controllers[id].reporter.view_activated(now, self.view, self.leader == id);
         }
         let record = self.record.clone();
-        self.controllers[id].duty.record_committed(record.as_ref());
-        let standing = self.standing(id);
+        self.controllers[id].reporter.record_committed(record.as_ref());
+        let lease = self.lease(id);
         let time = time_of_day(self.step * STEP_MS);
         let controller = &mut self.controllers[id];
-        if let Some(record) = controller.duty.next_record(standing, time, &controller.ledger) {
+        if let Some(record) = controller.reporter.next_record(lease, time, &controller.table) {
             // A commit may be delivered by the next view only.
             self.record = Some(record);
         }
         self.advance_connection(id);
-        while let Some(action) = self.controllers[id].duty.poll_action(now, standing) {
+        while let Some(action) = self.controllers[id].reporter.poll_action(now, lease) {
             match action {
                 Action::StartCall(call) => {
                     self.controllers[id].connection = Some(Connection::Opening(call));
@@ -192,7 +192,7 @@
     }
 
     fn advance_connection(&mut self, id: usize) {
-        let (now, standing) = (self.now(), self.standing(id));
+        let (now, lease) = (self.now(), self.lease(id));
         let is_slow = !self.is_calm() && self.random.one_in(2);
         let is_lost = !self.is_calm() && self.random.one_in(6);
         let controller = &mut self.controllers[id];
@@ -203,7 +203,7 @@
         }
         match connection {
             Connection::Opening(call) => {
-                let taken = controller.duty.take_call(now, standing, call);
+                let taken = controller.reporter.take_call(now, lease, call);
                 controller.connection = taken.map(|content| Connection::Open(call, content, None));
             }
             Connection::Open(call, content, None) => {
@@ -215,7 +215,7 @@
             }
             Connection::Open(call, _, Some(status)) => {
                 let outcome = if is_lost { CallOutcome::Unclear } else { CallOutcome::Answered(status) };
-                controller.duty.call_finished(now, call, outcome);
+                controller.reporter.call_finished(now, call, outcome);
             }
         }
     }
--- a/crates/fernknot-usage/src/lib.rs
+++ b/crates/fernknot-usage/src/lib.rs
@@ -2,15 +2,15 @@
 //! of day.
 //!
 //! Gateways count, controllers add up. What a gateway reports are totals of its incarnation (one run of its process),
-//! never increments, so that a report that arrives twice, late or over two ways changes nothing. A [`UsageLedger`] adds them up. The final
+//! never increments, so that a report that arrives twice, late or over two ways changes nothing. A [`UsageTable`] adds them up. The final
 //! counts of each window stand in a [`UsageRecord`], on which the controllers agree before anything is reported.
 
 #![deny(missing_docs)]
 
-mod ledger;
 mod record;
 mod report;
+mod table;
 
-pub use ledger::{LedgerLimits, RejectedTotals, UsageLedger};
 pub use record::{FixedWindow, MAX_UNREPORTED_COUNTS, MAX_UNREPORTED_WINDOWS, UsageRecord};
 pub use report::{UsageReport, WindowNumber, WindowUsage};
+pub use table::{RejectedTotals, TableLimits, UsageTable};
--- a/crates/fernknot-usage/src/ledger.rs
+++ b/crates/fernknot-usage/src/table.rs
@@ -9,16 +9,16 @@
 /// Totals of one window, by the incarnation that counted and the tenant.
 type WindowTotals = BTreeMap<(IncarnationId, Arc<str>), u64>;
 
-/// Limits of a [`UsageLedger`].
+/// Limits of a [`UsageTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LedgerLimits {
+pub struct TableLimits {
     /// Maximum number of totals of all windows; a report of a new one beyond it is rejected.
     pub max_totals: usize,
     /// Maximum length of a tenant's name, in bytes; a total with a longer one is rejected.
     pub max_name_bytes: usize,
 }
 
-/// Numbers of totals that a ledger did not take over.
+/// Numbers of totals that a table did not take over.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RejectedTotals {
     /// Totals of windows that are no longer open, which exceed what is known of them.
@@ -32,8 +32,8 @@
 /// Totals of all open windows. Merging reports in any order, and any number of times, gives the same totals as long as
 /// no limit is reached: of several totals of one incarnation, window and tenant, the largest counts.
 #[derive(Clone, Debug)]
-pub struct UsageLedger {
-    limits: LedgerLimits,
+pub struct UsageTable {
+    limits: TableLimits,
     windows: BTreeMap<WindowNumber, WindowTotals>,
     /// Names of the tenants in the windows, each held once.
     names: BTreeSet<Arc<str>>,
@@ -41,10 +41,10 @@
     rejected: RejectedTotals,
 }
 
-impl UsageLedger {
-    /// Creates an empty ledger.
-    pub fn new(limits: LedgerLimits) -> UsageLedger {
-        UsageLedger {
+impl UsageTable {
+    /// Creates an empty table.
+    pub fn new(limits: TableLimits) -> UsageTable {
+        UsageTable {
             limits,
             windows: BTreeMap::new(),
             names: BTreeSet::new(),
@@ -128,7 +128,7 @@
         self.names.retain(|name| Arc::strong_count(name) > 1);
     }
 
-    /// All totals, one report an incarnation, for another ledger to merge.
+    /// All totals, one report an incarnation, for another table to merge.
     pub fn snapshot(&self) -> Vec<UsageReport> {
         let mut reports: BTreeMap<IncarnationId, BTreeMap<WindowNumber, Vec<(String, u64)>>> =
             BTreeMap::new();
--- a/crates/fernknot-usage/tests/ledger.rs
+++ b/crates/fernknot-usage/tests/table.rs
@@ -1,12 +1,12 @@
 //! Totals of gateways are neither added twice nor lost, whatever the order in which reports arrive.
 
 use fernknot_ownership::IncarnationId;
-use fernknot_usage::{LedgerLimits, UsageLedger, UsageReport, WindowNumber, WindowUsage};
+use fernknot_usage::{TableLimits, UsageReport, UsageTable, WindowNumber, WindowUsage};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
 
-const LIMITS: LedgerLimits = LedgerLimits { max_totals: 1000, max_name_bytes: 16 };
+const LIMITS: TableLimits = TableLimits { max_totals: 1000, max_name_bytes: 16 };
 const OPEN: RangeInclusive<WindowNumber> = WindowNumber(10)..=WindowNumber(14);
 
 fn report(incarnation: u64, window: u64, tenant: &str, total: u64) -> UsageReport {
@@ -15,8 +15,8 @@
     UsageReport { incarnation: IncarnationId(incarnation), windows }
 }
 
-fn sums(ledger: &UsageLedger) -> Vec<Vec<(String, u64)>> {
-    (9..=15).map(|window| ledger.sums(WindowNumber(window))).collect()
+fn sums(table: &UsageTable) -> Vec<Vec<(String, u64)>> {
+    (9..=15).map(|window| table.sums(WindowNumber(window))).collect()
 }
 
 fn reports() -> impl Strategy<Value = Vec<UsageReport>> {
@@ -39,11 +39,11 @@
                 *total = (*total).max(requests[0].1);
             }
         }
-        let mut ledger = UsageLedger::new(LIMITS);
+        let mut table = UsageTable::new(LIMITS);
         for index in order.iter().filter(|_| !reports.is_empty()) {
-            ledger.merge(index.get(&reports), OPEN);
+            table.merge(index.get(&reports), OPEN);
         }
-        reports.iter().for_each(|report| _ = ledger.merge(report, OPEN));
+        reports.iter().for_each(|report| _ = table.merge(report, OPEN));
         for window in 9..=15 {
             let mut sums: BTreeMap<String, u64> = BTreeMap::new();
             for ((of, tenant, _), total) in &expected {
@@ -51,7 +51,7 @@
                     *sums.entry(tenant.clone()).or_default() += total;
                 }
             }
-            prop_assert_eq!(ledger.sums(WindowNumber(window)), sums.into_iter().collect::<Vec<_>>());
+            prop_assert_eq!(table.sums(WindowNumber(window)), sums.into_iter().collect::<Vec<_>>());
         }
     }
 
@@ -60,11 +60,11 @@
         reports in reports(),
         passed_on in 0..40usize,
     ) {
-        let mut first = UsageLedger::new(LIMITS);
-        let mut second = UsageLedger::new(LIMITS);
+        let mut first = UsageTable::new(LIMITS);
+        let mut second = UsageTable::new(LIMITS);
         for (index, report) in reports.iter().enumerate() {
             if index == passed_on {
-                second = UsageLedger::new(LIMITS);
+                second = UsageTable::new(LIMITS);
                 first.snapshot().iter().for_each(|report| _ = second.merge(report, OPEN));
             }
             if let Some(changed) = first.merge(report, OPEN) {
@@ -79,31 +79,31 @@
 
 #[test]
 fn given_a_total_of_a_closed_or_a_distant_window_when_merged_then_it_is_counted_as_rejected() {
-    let mut ledger = UsageLedger::new(LIMITS);
-    assert_eq!(ledger.merge(&report(1, 9, "a", 5), OPEN), None);
-    assert_eq!(ledger.merge(&report(1, 15, "a", 5), OPEN), None);
-    assert_eq!((ledger.rejected().late, ledger.rejected().early), (1, 1));
-    assert_eq!(ledger.total_count(), 0);
+    let mut table = UsageTable::new(LIMITS);
+    assert_eq!(table.merge(&report(1, 9, "a", 5), OPEN), None);
+    assert_eq!(table.merge(&report(1, 15, "a", 5), OPEN), None);
+    assert_eq!((table.rejected().late, table.rejected().early), (1, 1));
+    assert_eq!(table.total_count(), 0);
 }
 
 #[test]
 fn given_more_totals_than_the_limit_when_merged_then_known_ones_still_rise_and_new_ones_are_rejected() {
-    let mut ledger = UsageLedger::new(LedgerLimits { max_totals: 2, max_name_bytes: 4 });
-    ledger.merge(&report(1, 10, "a", 1), OPEN);
-    ledger.merge(&report(2, 10, "a", 1), OPEN);
-    assert_eq!(ledger.merge(&report(3, 10, "a", 1), OPEN), None);
-    assert!(ledger.merge(&report(2, 10, "a", 3), OPEN).is_some());
-    assert_eq!(ledger.merge(&report(2, 10, "abcde", 3), OPEN), None, "the name is too long");
-    assert_eq!(ledger.sums(WindowNumber(10)), [("a".to_string(), 4)]);
-    assert_eq!(ledger.rejected().over_limit, 2);
+    let mut table = UsageTable::new(TableLimits { max_totals: 2, max_name_bytes: 4 });
+    table.merge(&report(1, 10, "a", 1), OPEN);
+    table.merge(&report(2, 10, "a", 1), OPEN);
+    assert_eq!(table.merge(&report(3, 10, "a", 1), OPEN), None);
+    assert!(table.merge(&report(2, 10, "a", 3), OPEN).is_some());
+    assert_eq!(table.merge(&report(2, 10, "abcde", 3), OPEN), None, "the name is too long");
+    assert_eq!(table.sums(WindowNumber(10)), [("a".to_string(), 4)]);
+    assert_eq!(table.rejected().over_limit, 2);
 }
 
 #[test]
 fn given_windows_that_were_forgotten_when_new_totals_arrive_then_there_is_room_for_them() {
-    let mut ledger = UsageLedger::new(LedgerLimits { max_totals: 2, max_name_bytes: 4 });
-    ledger.merge(&report(1, 10, "a", 1), OPEN);
-    ledger.merge(&report(1, 11, "a", 1), OPEN);
-    ledger.forget_before(WindowNumber(11));
-    assert_eq!((ledger.total_count(), ledger.oldest_window()), (1, Some(WindowNumber(11))));
-    assert!(ledger.merge(&report(1, 12, "b", 1), OPEN).is_some());
+    let mut table = UsageTable::new(TableLimits { max_totals: 2, max_name_bytes: 4 });
+    table.merge(&report(1, 10, "a", 1), OPEN);
+    table.merge(&report(1, 11, "a", 1), OPEN);
+    table.forget_before(WindowNumber(11));
+    assert_eq!((table.total_count(), table.oldest_window()), (1, Some(WindowNumber(11))));
+    assert!(table.merge(&report(1, 12, "b", 1), OPEN).is_some());
 }
