--- a/crates/fernknot-usage-reporting/src/clock.rs
+++ b/crates/fernknot-usage-reporting/src/clock.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Copy, Debug)]
 struct ClockOffset {
     offset_ms: i64,
-    heard_at: Nanos,
+    received_at: Nanos,
 }
 
 /// Median of the local time of day and those of the controllers heard recently, so that one clock that steps changes
@@ -41,9 +41,9 @@
     /// Records the time of day of another controller, as its message gives it.
     pub fn record_peer(&mut self, now: Nanos, peer: SocketAddrV4, time_of_day: UnixMillis) {
         let expiry = self.expiry;
-        self.peers.retain(|_, clock| now - clock.heard_at <= expiry);
+        self.peers.retain(|_, clock| now - clock.received_at <= expiry);
         if self.peers.len() < MAX_PEER_CLOCKS || self.peers.contains_key(&peer) {
-            self.peers.insert(peer, ClockOffset { offset_ms: offset_ms(now, time_of_day), heard_at: now });
+            self.peers.insert(peer, ClockOffset { offset_ms: offset_ms(now, time_of_day), received_at: now });
         }
     }
 
@@ -55,7 +55,7 @@
     /// Time of day on which the controllers agree, the lower of the two middle ones for an even number. None before the
     /// local one was set.
     pub fn median(&self, now: Nanos) -> Option<UnixMillis> {
-        let recent = self.peers.values().filter(|clock| now - clock.heard_at <= self.expiry);
+        let recent = self.peers.values().filter(|clock| now - clock.received_at <= self.expiry);
         let mut offsets: Vec<i64> = recent.map(|clock| clock.offset_ms).collect();
         offsets.push(self.own_offset_ms?);
         offsets.sort_unstable();
