--- a/crates/fernknot-controller/src/controller/usage.rs
+++ b/crates/fernknot-controller/src/controller/usage.rs
@@ -196,12 +196,22 @@
     fn log_reporter_change(&mut self, lease: LeaseState) {
         let now = self.now();
         let Some(usage) = &mut self.usage else { return };
-        let token = usage.status(now, lease).token;
-        let text = match usage.take_token_change(token) {
-            None => return,
-            Some(Some(token)) => format!("holding the role of usage reporter, fencing token {}", token.0),
-            Some(None) => "no longer holding the role of usage reporter".to_string(),
-        };
-        self.actions.log(Level::Info, component::USAGE, text);
+        let status = usage.status(now, lease);
+        if let Some(token) = usage.take_token_change(status.token) {
+            let text = match token {
+                Some(token) => format!("this controller reports the usage, fencing token {}", token.0),
+                None => "this controller no longer reports the usage".to_string(),
+            };
+            self.actions.log(Level::Info, component::USAGE, text);
+        }
+        if usage.take_failure_change(status.last_failure.is_some()).is_some() {
+            let (level, text) = match status.last_failure {
+                Some(failure) => {
+                    (Level::Warn, format!("a usage report was not acknowledged: {failure}; retrying"))
+                }
+                None => (Level::Info, "usage reports are acknowledged again".to_string()),
+            };
+            self.actions.log(level, component::USAGE, text);
+        }
     }
 }
--- a/crates/fernknot-controller/src/host/events.rs
+++ b/crates/fernknot-controller/src/host/events.rs
@@ -77,7 +77,7 @@
             ConnectionRole::InboundInternal(_) => self.controller.unsubscribe(SubscriberId(id.0)),
             ConnectionRole::OutboundPeer(to) => self.controller.peer_disconnected(now, to),
             ConnectionRole::Platform(platform) => {
-                self.finish_platform_call(now, platform.call, CallOutcome::Unclear);
+                self.controller.platform_call_finished(now, platform.call, CallOutcome::Unclear);
             }
         }
     }
--- a/crates/fernknot-controller/src/host/platform_calls.rs
+++ b/crates/fernknot-controller/src/host/platform_calls.rs
@@ -34,7 +34,6 @@
     }
 
     pub(super) fn abort_platform_call(&mut self, call: CallId) {
-        log::info!(target: component::USAGE, "gave up call {} to the platform without an answer", call.0);
         if let Some(id) = self.connections.platform_call(call) {
             self.drop_connection(id);
         }
@@ -66,20 +65,6 @@
         };
         let call = platform.call;
         self.drop_connection(id);
-        self.finish_platform_call(now, call, outcome);
-    }
-
-    /// Passes the end of a call to the controller.
-    pub(super) fn finish_platform_call(&mut self, now: Nanos, call: CallId, outcome: CallOutcome) {
-        match outcome {
-            CallOutcome::Answered(200) => {}
-            CallOutcome::Answered(status) => {
-                log::warn!(target: component::USAGE, "the platform answered call {} with {status}", call.0);
-            }
-            CallOutcome::Unclear => {
-                log::warn!(target: component::USAGE, "call {} to the platform ended without an answer", call.0);
-            }
-        }
         self.controller.platform_call_finished(now, call, outcome);
     }
 }
--- a/crates/fernknot-controller/src/reports.rs
+++ b/crates/fernknot-controller/src/reports.rs
@@ -38,10 +38,12 @@
     };
     let window =
         |window: Option<WindowNumber>| window.map_or("none".to_string(), |window| window.0.to_string());
-    let ReporterStatus { last_fixed, last_acknowledged, unreported, abandoned, .. } = status;
+    let ReporterStatus { last_fixed, last_acknowledged, unreported, abandoned, last_failure, .. } = status;
+    let failure =
+        last_failure.map(|failure| format!("usage report: last attempt: {failure}\n")).unwrap_or_default();
     format!(
         "usage report: {holding}\n\
-         usage report: last window fixed {}, last acknowledged {}, {unreported} waiting, {abandoned} given up\n",
+         usage report: last window fixed {}, last acknowledged {}, {unreported} waiting, {abandoned} given up\n{failure}",
         window(*last_fixed),
         window(*last_acknowledged)
     )
--- a/crates/fernknot-controller/src/usage.rs
+++ b/crates/fernknot-controller/src/usage.rs
@@ -33,6 +33,8 @@
     propose_not_before: Nanos,
     /// Token under which this controller acted at the last call of [`take_token_change`](Self::take_token_change).
     last_token: Option<ReporterToken>,
+    /// Whether calls failed at the last call of [`take_failure_change`](Self::take_failure_change).
+    was_failing: bool,
 }
 
 impl Usage {
@@ -47,6 +49,7 @@
             proposal: None,
             propose_not_before: Nanos(0),
             last_token: None,
+            was_failing: false,
         }
     }
 
@@ -143,6 +146,11 @@
         (std::mem::replace(&mut self.last_token, token) != token).then_some(token)
     }
 
+    /// Returns whether calls fail, if that has changed since the last call.
+    pub fn take_failure_change(&mut self, is_failing: bool) -> Option<bool> {
+        (std::mem::replace(&mut self.was_failing, is_failing) != is_failing).then_some(is_failing)
+    }
+
     /// Numbers of totals that were not taken over.
     pub fn rejected_totals(&self) -> RejectedTotals {
         self.table.rejected()
--- a/crates/fernknot-controller/tests/common/mod.rs
+++ b/crates/fernknot-controller/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! An in-memory cluster of controllers with a simulated clock, connections, disks, callers and subscribers.
-#![allow(dead_code)] // each test file uses some of the fixtures
+#![allow(dead_code, unused_imports)] // each test file uses some of the fixtures
 
 mod callers;
 mod faults;
--- a/crates/fernknot-usage-reporting/src/lib.rs
+++ b/crates/fernknot-usage-reporting/src/lib.rs
@@ -19,6 +19,6 @@
 
 pub use clock::{MedianClock, UnixMillis};
 pub use holder::{LeaseState, ReporterToken};
-pub use platform_call::{CallId, CallOutcome, CallStatistics, UsageCall};
+pub use platform_call::{CallFailure, CallId, CallOutcome, CallStatistics, UsageCall};
 pub use reporter::{Action, ReporterStatus, UsageReporter};
 pub use settings::ReportingSettings;
--- a/crates/fernknot-usage-reporting/src/platform_call.rs
+++ b/crates/fernknot-usage-reporting/src/platform_call.rs
@@ -39,6 +39,20 @@
     Unclear,
 }
 
+/// Reason why an attempt was not acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CallFailure {
+    /// The platform answered with this status.
+    #[error("the platform answered {0}")]
+    Status(u16),
+    /// The connection could not be opened, or ended without an answer.
+    #[error("the connection failed or was closed without an answer")]
+    Connection,
+    /// The connection or the answer took too long.
+    #[error("there was no answer in time")]
+    TimedOut,
+}
+
 /// Numbers of attempts by their end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CallStatistics {
@@ -78,6 +92,8 @@
     timeouts: u32,
     random: u64,
     statistics: CallStatistics,
+    /// End of the last attempt; None if it was acknowledged.
+    last_failure: Option<CallFailure>,
 }
 
 impl PlatformCalls {
@@ -90,9 +106,14 @@
             timeouts: 0,
             random: seed,
             statistics: CallStatistics::default(),
+            last_failure: None,
         }
     }
 
+    pub(crate) fn last_failure(&self) -> Option<CallFailure> {
+        self.last_failure
+    }
+
     pub(crate) fn statistics(&self) -> CallStatistics {
         self.statistics
     }
@@ -151,6 +172,7 @@
     pub(crate) fn expire(&mut self, now: Nanos, settings: &ReportingSettings) -> Option<CallId> {
         let attempt = self.attempt.take_if(|attempt| attempt.deadline <= now)?;
         self.statistics.timed_out += 1;
+        self.last_failure = Some(CallFailure::TimedOut);
         self.timeouts += u32::from(attempt.written.is_some());
         self.pause(now, settings);
         Some(attempt.id)
@@ -165,12 +187,17 @@
         settings: &ReportingSettings,
     ) -> Option<FinishedCall> {
         let attempt = self.attempt.take_if(|attempt| attempt.id == id)?;
+        self.last_failure = Some(match outcome {
+            CallOutcome::Answered(status) => CallFailure::Status(status),
+            CallOutcome::Unclear => CallFailure::Connection,
+        });
         if let CallOutcome::Answered(_) = outcome {
             self.timeouts = 0;
         }
         match (outcome, attempt.written) {
             (CallOutcome::Answered(OK), Some(_)) => {
                 self.failures = 0;
+                self.last_failure = None;
                 self.statistics.acknowledged += 1;
                 return Some(FinishedCall::Acknowledged(attempt.window));
             }
--- a/crates/fernknot-usage-reporting/src/reporter.rs
+++ b/crates/fernknot-usage-reporting/src/reporter.rs
@@ -3,7 +3,7 @@
 use crate::clock::UnixMillis;
 use crate::holder::{HolderRight, LeaseState, ReporterToken};
 use crate::platform_call::{
-    CallId, CallOutcome, CallStatistics, FinishedCall, PlatformCalls, UsageCall, report_body,
+    CallFailure, CallId, CallOutcome, CallStatistics, FinishedCall, PlatformCalls, UsageCall, report_body,
 };
 use crate::settings::ReportingSettings;
 use crate::window_closing::{close_windows, first_record, open_windows};
@@ -40,6 +40,8 @@
     pub abandoned: u64,
     /// Attempts of calls of this process, by their end.
     pub calls: CallStatistics,
+    /// Reason why the last attempt was not acknowledged; None if it was.
+    pub last_failure: Option<CallFailure>,
 }
 
 /// One controller's part in the role of usage reporter.
@@ -203,6 +205,7 @@
             unreported: unreported.iter().filter(|fixed| self.is_unreported(fixed)).count(),
             abandoned: committed.map_or(0, UsageRecord::abandoned),
             calls: self.calls.statistics(),
+            last_failure: self.calls.last_failure(),
         }
     }
 
