--- a/crates/fernknot-controller/src/action.rs
+++ b/crates/fernknot-controller/src/action.rs
@@ -3,6 +3,7 @@
 use fernknot_consensus::{PersistentState, WriteId};
 use fernknot_http_api::Reply;
 use fernknot_rpc::{ControllerMessage, ControllerToGateway};
+use fernknot_usage_reporting::CallId;
 use log::Level;
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
@@ -68,6 +69,17 @@
         /// `disk_loaded`.
         addrs: Vec<SocketAddrV4>,
     },
+    /// Connect to the platform. Once the connection is open, `take_platform_call` returns what to write. A call of
+    /// `platform_call_finished` follows unless that returns None or the call is aborted.
+    StartPlatformCall {
+        /// Identifier of the attempt.
+        call: CallId,
+    },
+    /// Close the connection of a call to the platform that [`Action::StartPlatformCall`] began; no call follows.
+    AbortPlatformCall {
+        /// Identifier of the attempt.
+        call: CallId,
+    },
     /// Write a line to the process log.
     Log {
         /// Severity, by which the log may leave the line out.
--- a/crates/fernknot-controller/src/controller/publication.rs
+++ b/crates/fernknot-controller/src/controller/publication.rs
@@ -21,8 +21,7 @@
         }
         self.subscribers.defer_snapshot(id);
         self.send_nodes(id);
-        let heartbeat = self.heartbeat();
-        self.actions.notify(vec![id], heartbeat);
+        self.send_heartbeat_to(vec![id]);
     }
 
     /// Sends the snapshots that were deferred while no majority was reachable.
@@ -35,13 +34,12 @@
     }
 
     fn send_snapshot(&mut self, id: SubscriberId) {
-        if self.subscribers.is_behind(id, self.active_config.revision) {
+        if self.subscribers.is_behind(id, self.active_config.config_revision) {
             self.send_config(vec![id]);
         }
         self.send_nodes(id);
-        let heartbeat = self.heartbeat();
         self.actions.notify(vec![id], ControllerToGateway::SnapshotComplete);
-        self.actions.notify(vec![id], heartbeat);
+        self.send_heartbeat_to(vec![id]);
     }
 
     /// Sends the assignment and the nodes that a subscriber requested.
@@ -88,15 +86,20 @@
     pub(super) fn send_heartbeats(&mut self) {
         let subscribers = self.subscribers.ids();
         if !subscribers.is_empty() {
-            let heartbeat = self.heartbeat();
-            self.actions.notify(subscribers, heartbeat);
+            self.send_heartbeat_to(subscribers);
         }
     }
 
+    fn send_heartbeat_to(&mut self, to: Vec<SubscriberId>) {
+        self.send_time_of_day(to.clone());
+        let heartbeat = self.heartbeat();
+        self.actions.notify(to, heartbeat);
+    }
+
     fn heartbeat(&self) -> ControllerToGateway {
         ControllerToGateway::Heartbeat {
             sender: self.settings.seed,
-            revision: self.active_config.revision,
+            revision: self.active_config.config_revision,
             holds_lease: self.holds_lease() && !self.shutting_down,
             hops: 0,
             fencing_token: self.ownership.assignment().fencing_token.0,
--- a/crates/fernknot-controller/src/lib.rs
+++ b/crates/fernknot-controller/src/lib.rs
@@ -19,6 +19,7 @@
 #![deny(missing_docs)]
 
 mod action;
+mod active_config;
 mod calls;
 mod change;
 mod consensus_driver;
@@ -33,15 +34,18 @@
 mod peers;
 mod pending_changes;
 mod read_index;
+mod replicated_state;
 mod reports;
 mod seeded_bug;
 mod settings;
 mod subscribers;
 mod timers;
+mod usage;
 
 pub use action::{Action, PendingCall, SubscriberId};
 pub use control_state::{CommittedVersion, ControlState, ControlStateError};
 pub use controller::Controller;
+pub use replicated_state::{RecordedUsage, ReplicatedState};
 #[doc(hidden)]
 pub use seeded_bug::SeededBug;
 pub use settings::ControllerSettings;
