--- a/crates/fernknot-testbed/tests/system.rs
+++ b/crates/fernknot-testbed/tests/system.rs
@@ -10,6 +10,9 @@
 use fernknot_testbed::requests::RequestKind;
 use std::path::Path;
 
+/// Number of routes whose configuration is several times larger than the read-ahead of a gateway.
+const LARGE_FILLER_ROUTES: usize = 4_000;
+
 /// A configuration is read back unchanged and applied by all gateways, and gathered responses contain the greatest
 /// records of their parts.
 #[test]
@@ -47,6 +50,24 @@
     .unwrap();
 }
 
+/// A configuration that is larger than what a process reads ahead reaches the gateways, and so does the one after it.
+#[test]
+fn given_a_large_configuration_when_it_is_acknowledged_then_all_gateways_apply_it_and_the_next_one() {
+    let system = System::start(14);
+    let large = ConfigDraft { epoch: 2, filler_routes: LARGE_FILLER_ROUTES, ..system.draft.clone() };
+    let next = ConfigDraft { epoch: 3, ..large.clone() };
+    for (draft, base) in [(&large, 1), (&next, 2)] {
+        assert!(matches!(
+            system.operator.replace(&draft.to_bytes(), base),
+            CallOutcome::Completed { status: 200, .. }
+        ));
+        wait_until("all gateways have the version", WAIT_TIMEOUT, || {
+            (0..2).all(|number| system.cluster.gateway_version(number) == draft.epoch)
+        })
+        .unwrap();
+    }
+}
+
 /// An acknowledged configuration survives the loss of one controller, then of all controllers at once.
 #[test]
 fn given_killed_controllers_when_they_restart_then_they_return_the_acknowledged_configuration() {
