--- a/crates/fernknot-gateway/src/updates/subscribers.rs
+++ b/crates/fernknot-gateway/src/updates/subscribers.rs
@@ -1,7 +1,7 @@
 //! Gateways that have subscribed to updates of this one.
 
 use fernknot::interface::Nanos;
-use fernknot_net::{ConnectionId, Network};
+use fernknot_net::{Buffer, ConnectionId, Network};
 use fernknot_ownership::{GatewayRecord, IncarnationId};
 use fernknot_registry::NodeRecord;
 use fernknot_rpc::{ControllerToGateway, Subscription, write_message};
@@ -111,9 +111,7 @@
 
     /// Sends a message to all subscribers.
     pub(super) fn broadcast<N: Network>(&self, network: &mut N, message: &ControllerToGateway) {
-        for id in self.subscribers.keys() {
-            send(network, *id, message);
-        }
+        send_to_all(network, self.subscribers.keys().copied(), message);
     }
 
     /// Sends a message to the subscribers at these addresses.
@@ -123,11 +121,9 @@
         to: &[SocketAddrV4],
         message: &ControllerToGateway,
     ) {
-        for (id, subscriber) in &self.subscribers {
-            if to.contains(&subscriber.gateway.addr) {
-                send(network, *id, message);
-            }
-        }
+        let addressed =
+            self.subscribers.iter().filter(|(_, subscriber)| to.contains(&subscriber.gateway.addr));
+        send_to_all(network, addressed.map(|(id, _)| *id), message);
     }
 
     /// Sends to each subscriber the records that it has subscribed to.
@@ -157,11 +153,25 @@
 
 /// Sends a message over an inner connection, or closes the connection if its peer does not read.
 pub(super) fn send<N: Network>(network: &mut N, id: ConnectionId, message: &ControllerToGateway) {
-    if network.pending_output_bytes(id) > MAX_PENDING_OUTPUT_BYTES {
-        return network.close(id);
-    }
-    if let Some(output) = network.output(id) {
-        write_message(output, message);
+    send_to_all(network, [id], message);
+}
+
+/// Sends a message, encoded once, over inner connections, and closes those whose peer does not read.
+fn send_to_all<N: Network>(
+    network: &mut N,
+    ids: impl IntoIterator<Item = ConnectionId>,
+    message: &ControllerToGateway,
+) {
+    let mut bytes = Buffer::default();
+    for id in ids {
+        if network.pending_output_bytes(id) > MAX_PENDING_OUTPUT_BYTES {
+            network.close(id);
+        } else if let Some(output) = network.output(id) {
+            if bytes.is_empty() {
+                write_message(&mut bytes, message);
+            }
+            output.push(bytes.data());
+        }
     }
 }
 
