Look only at windows with changes when usage is reported

A relay keeps the totals of all gateways behind it, of which most belong to earlier windows; a report went through all of them. Windows without a change since the last report are skipped.

--- a/crates/fernknot-usage/src/totals.rs
+++ b/crates/fernknot-usage/src/totals.rs
@@ -23,12 +23,20 @@
     reported: u64,
 }
 
+/// Totals of one window.
+#[derive(Debug, Default)]
+struct Window {
+    totals: BTreeMap<TotalKey, Total>,
+    /// Whether a total may have changed since the last report.
+    has_changes: bool,
+}
+
 /// Totals of requests by window, incarnation and tenant. A total never decreases, so that reports may arrive several
 /// times, in any order and over several ways.
 #[derive(Debug)]
 pub struct UsageTotals {
     limits: UsageLimits,
-    windows: BTreeMap<WindowNumber, BTreeMap<TotalKey, Total>>,
+    windows: BTreeMap<WindowNumber, Window>,
     total_count: usize,
 }
 
@@ -61,8 +69,8 @@
     pub fn take_changed(&mut self, max_totals: usize) -> Vec<UsageReport> {
         let mut changed: BTreeMap<IncarnationId, Vec<WindowUsage>> = BTreeMap::new();
         let mut remaining = max_totals;
-        for (window, totals) in &mut self.windows {
-            for ((incarnation, tenant), total) in totals {
+        for (number, window) in self.windows.iter_mut().filter(|(_, window)| window.has_changes) {
+            for ((incarnation, tenant), total) in &mut window.totals {
                 if total.requests == total.reported {
                     continue;
                 }
@@ -72,25 +80,27 @@
                 remaining -= 1;
                 total.reported = total.requests;
                 let windows = changed.entry(*incarnation).or_default();
-                if windows.last().is_none_or(|last| last.window != *window) {
-                    windows.push(WindowUsage { window: *window, requests: Vec::new() });
+                if windows.last().is_none_or(|last| last.window != *number) {
+                    windows.push(WindowUsage { window: *number, requests: Vec::new() });
                 }
                 if let Some(usage) = windows.last_mut() {
                     usage.requests.push((tenant.clone(), total.requests));
                 }
             }
+            window.has_changes = false;
         }
         into_reports(changed)
     }
 
     /// Makes [`UsageTotals::take_changed`] return all totals again, for a receiver that may know none.
     pub fn mark_all_changed(&mut self) {
-        for total in self.windows.values_mut().flat_map(BTreeMap::values_mut) {
-            total.reported = 0;
+        for window in self.windows.values_mut() {
+            window.has_changes = true;
+            window.totals.values_mut().for_each(|total| total.reported = 0);
         }
     }
 
-    /// Returns the total, and adds it if there is room; `None` for a window that is older than all kept ones.
+    /// Returns the total, to be changed, and adds it if there is room; `None` for a window that is older than all kept ones.
     fn total_mut(
         &mut self,
         incarnation: IncarnationId,
@@ -98,13 +108,14 @@
         tenant: &str,
     ) -> Option<&mut Total> {
         let key = (incarnation, tenant.to_string());
-        let is_known = self.windows.get(&window).is_some_and(|totals| totals.contains_key(&key));
+        let is_known = self.windows.get(&window).is_some_and(|known| known.totals.contains_key(&key));
         if !is_known && !self.make_room(window) {
             return None;
         }
-        let totals = self.windows.entry(window).or_default();
         self.total_count += usize::from(!is_known);
-        Some(totals.entry(key).or_default())
+        let window = self.windows.entry(window).or_default();
+        window.has_changes = true;
+        Some(window.totals.entry(key).or_default())
     }
 
     /// Forgets the oldest windows until a total of this window can be added. Returns whether it can.
@@ -124,8 +135,8 @@
     }
 
     fn forget_oldest(&mut self) {
-        if let Some((_, totals)) = self.windows.pop_first() {
-            self.total_count -= totals.len();
+        if let Some((_, window)) = self.windows.pop_first() {
+            self.total_count -= window.totals.len();
         }
     }
 }
