Give up a call to the platform sooner, by the time of its last answer

The time limit of an answer is 0.1 of `usage_delay_s`, or twice the time of the last answer, and grows by half with each attempt that reaches it, so that a lost call is soon made again and a slow platform is still heard. A test that polled 2 s after the start of a call now polls at each millisecond of the shorter limit.

--- a/crates/fernknot-usage-reporting/src/platform_call.rs
+++ b/crates/fernknot-usage-reporting/src/platform_call.rs
@@ -10,6 +10,10 @@
 const OK: u16 = 200;
 /// Status of a call whose fencing token is lower than one that the platform has seen.
 const CONFLICT: u16 = 409;
+/// Time limit of an answer, as a multiple of the time that the last answer took.
+const ANSWER_TIMEOUT_FACTOR: f64 = 2.0;
+/// Factor by which the time limit grows with each attempt in a row that reaches it.
+const TIMEOUT_GROWTH: f64 = 1.5;
 /// Smallest share of a pause that is waited; the rest is random.
 const MIN_PAUSE_SHARE: f64 = 0.5;
 
@@ -70,14 +74,21 @@
     pub timed_out: u64,
 }
 
+/// Attempt that was written.
+#[derive(Clone, Copy, Debug)]
+struct Writing {
+    token: ReporterToken,
+    at: Nanos,
+}
+
 /// Attempt that has no end yet.
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
     id: CallId,
     window: WindowNumber,
     deadline: Nanos,
-    /// Token that was written; None before.
-    written: Option<ReporterToken>,
+    /// None before it is written.
+    written: Option<Writing>,
 }
 
 /// Attempts of the calls, one at a time.
@@ -90,6 +101,8 @@
     failures: u32,
     /// Number of attempts in a row that were written and not answered within their time limit.
     timeouts: u32,
+    /// Time that the platform took for its last answer.
+    last_answer_time: Nanos,
     random: u64,
     statistics: CallStatistics,
     /// End of the last attempt; None if it was acknowledged.
@@ -104,6 +117,7 @@
             not_before: Nanos(0),
             failures: 0,
             timeouts: 0,
+            last_answer_time: Nanos(0),
             random: seed,
             statistics: CallStatistics::default(),
             last_failure: None,
@@ -140,11 +154,12 @@
         Some(id)
     }
 
-    /// Time limit of the answer. Grows with each attempt that reaches it, so that a platform that is slower than the
-    /// first limit is still heard.
+    /// Time limit of the answer. Follows the time of the last answer and grows with each attempt that reaches it, so that
+    /// a slow platform is heard, and a call that is lost is soon made again.
     fn answer_timeout(&self, settings: &ReportingSettings) -> Nanos {
-        let factor = 2f64.powi(self.timeouts.min(16) as i32);
-        settings.first_answer_timeout().times(factor).min(settings.usage_delay)
+        let expected = self.last_answer_time.times(ANSWER_TIMEOUT_FACTOR).max(settings.min_answer_timeout());
+        let growth = TIMEOUT_GROWTH.powi(self.timeouts.min(16) as i32);
+        expected.times(growth).min(settings.usage_delay)
     }
 
     /// Window of an attempt that has not been written yet.
@@ -157,7 +172,7 @@
     pub(crate) fn mark_written(&mut self, now: Nanos, token: ReporterToken, settings: &ReportingSettings) {
         let timeout = self.answer_timeout(settings);
         if let Some(attempt) = &mut self.attempt {
-            attempt.written = Some(token);
+            attempt.written = Some(Writing { token, at: now });
             attempt.deadline = now + timeout;
             self.statistics.written += 1;
         }
@@ -193,6 +208,7 @@
         });
         if let CallOutcome::Answered(_) = outcome {
             self.timeouts = 0;
+            self.last_answer_time = attempt.written.map_or(self.last_answer_time, |writing| now - writing.at);
         }
         match (outcome, attempt.written) {
             (CallOutcome::Answered(OK), Some(_)) => {
@@ -201,7 +217,7 @@
                 self.statistics.acknowledged += 1;
                 return Some(FinishedCall::Acknowledged(attempt.window));
             }
-            (CallOutcome::Answered(CONFLICT), Some(token)) => {
+            (CallOutcome::Answered(CONFLICT), Some(Writing { token, .. })) => {
                 self.statistics.fenced += 1;
                 self.pause(now, settings);
                 return Some(FinishedCall::Fenced(token));
--- a/crates/fernknot-usage-reporting/src/settings.rs
+++ b/crates/fernknot-usage-reporting/src/settings.rs
@@ -12,8 +12,8 @@
 const TAKEOVER_WAIT_LEASES: f64 = 1.1;
 /// Time limit of a connection to the platform, as a share of the delay by which usage is due.
 const CONNECT_TIMEOUT_SHARE: f64 = 0.1;
-/// Time limit of the first answer to a call, as a share of the delay by which usage is due.
-const ANSWER_TIMEOUT_SHARE: f64 = 0.25;
+/// Shortest time limit of an answer, as a share of the delay by which usage is due.
+const ANSWER_TIMEOUT_SHARE: f64 = 0.1;
 /// Pause before the first retry of a call, as a share of the delay by which usage is due.
 const FIRST_PAUSE_SHARE: f64 = 0.02;
 /// Longest pause before a retry of a call, as a share of the delay by which usage is due.
@@ -45,8 +45,8 @@
         self.usage_delay.times(CONNECT_TIMEOUT_SHARE)
     }
 
-    /// Time limit of the first answer to a call.
-    pub(crate) fn first_answer_timeout(&self) -> Nanos {
+    /// Shortest time limit of an answer.
+    pub(crate) fn min_answer_timeout(&self) -> Nanos {
         self.usage_delay.times(ANSWER_TIMEOUT_SHARE)
     }
 
--- a/crates/fernknot-usage-reporting/tests/platform_calls.rs
+++ b/crates/fernknot-usage-reporting/tests/platform_calls.rs
@@ -37,7 +37,9 @@
 fn given_an_outstanding_call_when_polled_then_no_other_one_starts() {
     let mut reporter = acting_reporter("a");
     write(&mut reporter, acting_time(), leading(1));
-    assert_eq!(reporter.poll_action(acting_time() + ms(2000), leading(1)), None);
+    for wait in 0..1000 {
+        assert_eq!(reporter.poll_action(acting_time() + ms(wait), leading(1)), None, "after {wait} ms");
+    }
 }
 
 #[test]
@@ -96,11 +98,27 @@
         limits.push((deadline - now).as_millis());
         now = reporter.next_call_timeout(deadline, leading(1)).unwrap();
     }
-    assert_eq!(limits, [2500.0, 5000.0, 10_000.0, 10_000.0, 10_000.0]);
+    assert_eq!(limits, [1000.0, 1500.0, 2250.0, 3375.0, 5062.5]);
     assert!(bodies.iter().all(|body| *body == bodies[0]));
     assert_eq!(reporter.status(now, leading(1)).calls.timed_out, 5);
 }
 
+#[test]
+fn given_a_slow_platform_when_it_has_answered_once_then_the_next_call_waits_for_twice_that_time() {
+    let mut reporter = acting_reporter("a");
+    let mut now = acting_time();
+    for (answer_ms, next_limit_ms) in [(900, 1800), (1700, 3400), (10, 1000)] {
+        let (id, _) = write(&mut reporter, now, leading(1));
+        now = now + ms(answer_ms);
+        assert_eq!(reporter.poll_action(now, leading(1)), None, "the call is still outstanding");
+        reporter.call_finished(now, id, CallOutcome::Answered(429));
+        now = reporter.next_call_timeout(now, leading(1)).unwrap();
+        let mut next = reporter.clone();
+        write(&mut next, now, leading(1));
+        assert_eq!(next.next_call_timeout(now, leading(1)), Some(now + ms(next_limit_ms)));
+    }
+}
+
 #[test]
 fn given_a_platform_that_is_cut_off_when_no_connection_opens_then_each_attempt_takes_a_second_at_most() {
     let mut reporter = acting_reporter("a");
