Play series of changes in the simulator and judge 404s of old versions

Runs of the whole system made at most 60 changes in 30 s, and each version had one route of its own besides the two that never change. A 404 was judged only on the route of the newest version, and only if nothing newer had been sent: with a change each second, never. Losses of processes did not overlap beyond the fault budget, and partitions did not reach the links of gateways.

Losses of processes overlap, the leader is cut off from the other controllers only, controllers and gateways freeze, disks hang, gateways are cut off too. One client for each gateway requests routes that were just added or removed. The new check compares each 404 and each execution with all versions that may be in force: a gateway in contact handles nothing as only a version older than the due one allows, and no incarnation returns to an older version.

--- a/crates/fernknot-simulator/src/bin/fernknot-simulator/arguments.rs
+++ b/crates/fernknot-simulator/src/bin/fernknot-simulator/arguments.rs
@@ -5,8 +5,8 @@
 use std::ops::Range;
 
 pub const HELP: &str =
-    "fernknot-simulator run --seeds FROM..TO [--members 3|5] [--threads N] [FAULTS] [--system [--gateways N]]
-fernknot-simulator replay SEED [--members 3|5] [FAULTS] [--all-faults] [--system [--gateways N]]
+    "fernknot-simulator run --seeds FROM..TO [--members 3|5] [--threads N] [FAULTS] [--system [--gateways N] [--series]]
+fernknot-simulator replay SEED [--members 3|5] [FAULTS] [--all-faults] [--system [--gateways N] [--series]]
 FAULTS: [--exceed-budget] [--split-core] [--uneven-clocks]
 
 run     runs all seeds, prints those that violate a rule, and exits with 1 if there are any
@@ -15,6 +15,7 @@
 --exceed-budget  loses more machines than the fault budget allows, and checks only the safety rules
 --system         runs production gateways with clients and responding nodes
 --gateways N     number of gateways (2)
+--series         sends hundreds of changes one after another under overlapping losses, 100 s long (4 gateways)
 --split-core     partitions the controllers into two halves at times, in addition to the other losses
 --uneven-clocks  runs the clocks of processes at different rates
 
@@ -41,6 +42,7 @@
     pub keeps_all_faults: bool,
     exceeds_fault_budget: bool,
     is_whole_system: bool,
+    changes_in_series: bool,
     gateways: Option<usize>,
     splits_core: bool,
     uneven_clocks: bool,
@@ -60,6 +62,7 @@
             keeps_all_faults: false,
             exceeds_fault_budget: false,
             is_whole_system: false,
+            changes_in_series: false,
             gateways: None,
             splits_core: false,
             uneven_clocks: false,
@@ -73,6 +76,7 @@
                 Long("all-faults" | "whole") => arguments.keeps_all_faults = true,
                 Long("exceed-budget" | "beyond") => arguments.exceeds_fault_budget = true,
                 Long("system") => arguments.is_whole_system = true,
+                Long("series") => arguments.changes_in_series = true,
                 Long("gateways") => arguments.gateways = Some(parser.value()?.parse()?),
                 Long("split-core") => arguments.splits_core = true,
                 Long("uneven-clocks") => arguments.uneven_clocks = true,
@@ -95,12 +99,17 @@
         if arguments.gateways.is_some() && !arguments.is_whole_system {
             return Err("--gateways requires --system".into());
         }
+        if arguments.changes_in_series && !arguments.is_whole_system {
+            return Err("--series requires --system".into());
+        }
         Ok(arguments)
     }
 
     /// Returns the settings of the run with this seed.
     pub fn settings(&self, seed: u64) -> Settings {
-        let mut settings = if self.is_whole_system {
+        let mut settings = if self.changes_in_series {
+            Settings::change_series(seed, self.members)
+        } else if self.is_whole_system {
             Settings::whole_system(seed, self.members)
         } else {
             Settings::new(seed, self.members)
--- a/crates/fernknot-simulator/src/checks/observations.rs
+++ b/crates/fernknot-simulator/src/checks/observations.rs
@@ -17,6 +17,7 @@
     pub version: Version,
     /// Sequence number of the beginning among all events.
     pub invoked_at: u64,
+    pub sent_at: Nanos,
     /// Definitive response, if there was one.
     pub completion: Option<Completion>,
     pub operator: usize,
--- a/crates/fernknot-simulator/src/checks/requests.rs
+++ b/crates/fernknot-simulator/src/checks/requests.rs
@@ -2,6 +2,7 @@
 //! executions at nodes, and responses to clients.
 
 use crate::checks::retry_budget::{Retry, check_retry_budget};
+use crate::checks::route_versions::RouteObservation;
 use crate::checks::rule::{BrokenRule, Rule};
 use crate::checks::sent_request::{RequestKind, SentRequest};
 use crate::wire::Message;
@@ -29,6 +30,8 @@
     Rejection,
     /// A node rejected the request with 503 and `Not-Executed`.
     RejectedByNode,
+    /// The request revealed whether a gateway has a route that comes and goes.
+    ChangingRouteSeen,
     /// A client sent the request, as one attempt with an `Attempt-Id` of its own.
     Request,
     /// The request arrived at a node again.
@@ -54,6 +57,7 @@
             RequestEvent::NoRoute => "no route",
             RequestEvent::Rejection => "rejections",
             RequestEvent::RejectedByNode => "rejections by nodes",
+            RequestEvent::ChangingRouteSeen => "changing routes seen",
             RequestEvent::Request => "requests",
             RequestEvent::Retry => "retries",
             RequestEvent::Success => "successes",
@@ -98,6 +102,7 @@
     /// Versions observed through each gateway incarnation, in ascending order.
     versions_seen: BTreeMap<(usize, u64), Vec<VersionObservation>>,
     pub counts: BTreeMap<RequestEvent, u64>,
+    pub route_observations: Vec<RouteObservation>,
 }
 
 impl RequestChecker {
@@ -187,7 +192,8 @@
         if other_id.is_some() {
             return Some(BrokenRule::new(Rule::Mixed, format!("{attempt_id} got {other_id:?}")));
         }
-        let is_probe = matches!(self.requests[index].sent.kind, RequestKind::Probe(_));
+        let kind = self.requests[index].sent.kind;
+        let is_probe = matches!(kind, RequestKind::Probe(_) | RequestKind::ChangingRoute(_));
         match message.status() {
             200..300 => {
                 self.count(RequestEvent::Success);
--- a/crates/fernknot-simulator/src/checks/sent_request.rs
+++ b/crates/fernknot-simulator/src/checks/sent_request.rs
@@ -9,6 +9,8 @@
     Idempotent,
     /// Request on the route that only the version with this body contains.
     Probe(u64),
+    /// Request on a route that comes and goes.
+    ChangingRoute(u64),
 }
 
 impl RequestKind {
--- a/crates/fernknot-simulator/src/control_clients/operators.rs
+++ b/crates/fernknot-simulator/src/control_clients/operators.rs
@@ -1,7 +1,7 @@
 //! Operators, which read and change the configuration.
 
 use crate::checks::observations::ChangeRecord;
-use crate::control_clients::configs::raw_config;
+use crate::control_clients::configs::{RouteSet, raw_config};
 use crate::control_clients::state::{ControlClientEvent, Purpose};
 use crate::linearizability::Version;
 use crate::simulation::Simulation;
@@ -12,6 +12,12 @@
 const MAX_CHANGES_IN_FLIGHT: usize = 8;
 /// Number of completed reads in a run after which read floods (`flood_machine`) stop.
 const MAX_READS: usize = 300;
+/// Mean number of an operator's operations of which one is a read, without and with changes in series.
+const READ_INTERVAL: usize = 3;
+const SERIES_READ_INTERVAL: usize = 10;
+/// Range of an operator's pauses with changes in series.
+const MIN_SERIES_PAUSE: Nanos = millis(300);
+const MAX_SERIES_PAUSE: Nanos = millis(1500);
 /// Time after which an operator abandons a change, if it abandons it at all.
 const CHANGE_ABANDON_TIMEOUT: Nanos = millis(2000);
 /// Time after which a read of a flood is abandoned.
@@ -25,9 +31,14 @@
         let operator = &mut self.control_clients.operators[index];
         let delay = match operator.in_change_storm {
             true => operator.rng.between(millis(20), millis(120)),
+            false if self.settings.changes_in_series => {
+                operator.rng.between(MIN_SERIES_PAUSE, MAX_SERIES_PAUSE)
+            }
             false => operator.rng.between(millis(150), millis(1500)),
         };
-        let reads = std::mem::take(&mut operator.reads_next) || operator.rng.one_in(3);
+        let read_interval =
+            if self.settings.changes_in_series { SERIES_READ_INTERVAL } else { READ_INTERVAL };
+        let reads = std::mem::take(&mut operator.reads_next) || operator.rng.one_in(read_interval);
         let choice = operator.rng.below(12);
         self.schedule_client(delay, ControlClientEvent::OperatorTurn(index));
         match choice {
@@ -76,7 +87,8 @@
         }
         let invoked_at = self.next_sequence();
         let version = Version { epoch, body: changes as u64 };
-        let change = ChangeRecord { base, version, invoked_at, completion: None, operator };
+        let sent_at = self.now;
+        let change = ChangeRecord { base, version, invoked_at, sent_at, completion: None, operator };
         self.observations.changes.push(change);
         self.send_change(Purpose::Replace(changes));
         let give_up_at = self.now + CHANGE_ABANDON_TIMEOUT;
@@ -88,10 +100,18 @@
         }
     }
 
+    fn route_set(&self) -> RouteSet {
+        match self.settings.gateways {
+            0 => RouteSet::Single,
+            _ if self.settings.changes_in_series => RouteSet::Changing,
+            _ => RouteSet::Traffic,
+        }
+    }
+
     fn send_change(&mut self, purpose: Purpose) {
         let (Purpose::Replace(change) | Purpose::Resend(change)) = purpose else { return };
         let ChangeRecord { base, version, .. } = self.observations.changes[change];
-        let mut body = raw_config(version, self.settings.gateways > 0);
+        let mut body = raw_config(version, self.route_set());
         // The same JSON value in another formatting, which must count as the same change.
         if matches!(purpose, Purpose::Resend(_)) && self.rng.one_in(2) {
             body = body.replace(',', " ,\n  ");
--- a/crates/fernknot-simulator/src/faults/injection.rs
+++ b/crates/fernknot-simulator/src/faults/injection.rs
@@ -164,7 +164,8 @@
             self.faults.last_returned = Some(machine);
             self.fire_trigger(Trigger::MachineReturned);
         }
-        let subscribers = if subscribers { self.subscribers.count() } else { 0 };
+        let gateways = if self.settings.changes_in_series { self.settings.gateways } else { 0 };
+        let subscribers = if subscribers { self.subscribers.count() + gateways } else { 0 };
         // Includes the indices of machines that may be added during the fault.
         let machines = (0..MAX_MACHINES).filter(|other| *other != machine);
         for other in machines.chain(FIRST_SUBSCRIBER..FIRST_SUBSCRIBER + subscribers) {
--- a/crates/fernknot-simulator/src/faults/mod.rs
+++ b/crates/fernknot-simulator/src/faults/mod.rs
@@ -2,5 +2,6 @@
 
 mod injection;
 pub mod schedule;
+pub(crate) mod series;
 pub(crate) mod state;
 mod triggers;
--- a/crates/fernknot-simulator/src/faults/triggers.rs
+++ b/crates/fernknot-simulator/src/faults/triggers.rs
@@ -81,6 +81,10 @@
         let lost = self.lost_machines();
         let others = lost.iter().filter(|other| **other != machine).count();
         let affects_all = matches!(kind, FaultKind::AllMachines { .. });
+        // Without a lost disk all data survives, so that any number of processes may be lost at one time.
+        if self.settings.changes_in_series && !kind.loses_disk() {
+            return false;
+        }
         let is_over_budget = others >= self.settings.tolerated_losses
             || (affects_all && !lost.is_empty())
             || (kind.loses_disk()
--- a/crates/fernknot-simulator/src/gateways/faults.rs
+++ b/crates/fernknot-simulator/src/gateways/faults.rs
@@ -5,12 +5,17 @@
 use crate::time::millis;
 use fernknot::interface::Nanos;
 
+/// Maximum time between two faults of gateways or nodes, without and with changes in series.
+const MAX_PAUSE: Nanos = millis(8000);
+const MAX_SERIES_PAUSE: Nanos = millis(14_000);
+
 impl Simulation {
     pub(super) fn inject_gateway_fault(&mut self) {
         if self.now >= self.settings.fault_period {
             return;
         }
-        let delay = self.rng.between(millis(1500), millis(8000));
+        let max_pause = if self.settings.changes_in_series { MAX_SERIES_PAUSE } else { MAX_PAUSE };
+        let delay = self.rng.between(millis(1500), max_pause);
         self.schedule_gateway(delay, GatewayEvent::InjectFault);
         let index = self.rng.below(self.gateways.processes.len());
         let kind = self.rng.below(5);
--- a/crates/fernknot-simulator/src/gateways/processes.rs
+++ b/crates/fernknot-simulator/src/gateways/processes.rs
@@ -189,6 +189,7 @@
         connection.output.consume(bytes.len());
         let is_closing = connection.is_closing;
         if let Some(link) = process.links.get(&id).copied().filter(|_| !bytes.is_empty()) {
+            let bytes = self.without_relayed_configs(link, bytes);
             self.send_bytes(link.connection, link.side, bytes);
         }
         if is_closing {
--- a/crates/fernknot-simulator/src/lib.rs
+++ b/crates/fernknot-simulator/src/lib.rs
@@ -27,7 +27,7 @@
 //!
 //! | Modules | Contents |
 //! |---|---|
-//! | [`rng`], [`time`], `topology`, [`settings`], [`wire`], [`ports`], `http_request` | utilities without run state |
+//! | [`rng`], [`time`], `topology`, [`settings`], [`wire`], [`ports`], `http_request`, `route_slots` | utilities without run state |
 //! | [`linearizability`], `checks` (except `history`) | observations and the rules that are checked against them |
 //! | `state` of each component, [`faults::schedule`], `event` | the data of a run |
 //! | `simulation` | the clock, and one struct that contains the state of all components |
@@ -44,6 +44,7 @@
 mod gateways;
 mod http_request;
 mod network;
+mod route_slots;
 mod simulation;
 mod subscribers;
 mod topology;
--- a/crates/fernknot-simulator/src/run.rs
+++ b/crates/fernknot-simulator/src/run.rs
@@ -3,6 +3,7 @@
 use crate::checks::requests::RequestEvent;
 use crate::checks::rule::{Rule, Violation};
 use crate::faults::schedule::{Fault, draw_core_splits, draw_fault_schedule};
+use crate::faults::series::draw_series_schedule;
 use crate::linearizability::Version;
 use crate::rng::Rng;
 use crate::settings::Settings;
@@ -40,6 +41,9 @@
 /// Returns the fault schedule drawn from the seed of these settings.
 pub fn fault_schedule(settings: &Settings) -> Vec<Fault> {
     let rng = Rng::new(settings.seed ^ SCHEDULE_SEED);
+    if settings.changes_in_series {
+        return draw_series_schedule(&rng, FIRST_FAULT_AT, settings.fault_period);
+    }
     let mut faults = draw_fault_schedule(&rng, FIRST_FAULT_AT, settings.fault_period);
     if settings.splits_core {
         let rng = Rng::new(settings.seed ^ SPLIT_SEED);
--- a/crates/fernknot-simulator/src/settings.rs
+++ b/crates/fernknot-simulator/src/settings.rs
@@ -14,6 +14,12 @@
 /// Length of the windows in which the retry budget limits retries.
 pub const RETRY_WINDOW: Nanos = millis(10_000);
 
+/// Number of gateways in a run with changes in series: one in each zone, and a second in one of them, which takes its
+/// updates from the first.
+const SERIES_GATEWAYS: usize = 4;
+const MAX_SERIES_CHANGES: usize = 400;
+const SERIES_FAULT_PERIOD: Nanos = millis(100_000);
+
 /// Number of clients per gateway in runs with gateways.
 const CLIENTS_PER_GATEWAY: usize = 2;
 /// Maximum relative difference between the rate of a process's clock and the simulated one; far above real drift.
@@ -87,6 +93,10 @@
     SwapsResponses,
     /// Subscribers receive an older configuration as if it were the newest.
     ReplaysOldConfig,
+    /// Gateways receive no configurations for some seconds at a time.
+    WithholdsConfigs,
+    /// Gateways do not forward configurations to other gateways.
+    RelaysNoConfigs,
     /// Gateways are configured with a retry budget a hundred times too large.
     UnlimitedRetries,
     /// A bug in the production code of the gateways.
@@ -120,6 +130,9 @@
     pub exceeds_fault_budget: bool,
     /// Whether the core is also partitioned into two parts at times, in addition to the losses of the fault budget.
     pub splits_core: bool,
+    /// Whether operators send changes one after another, each of which adds or removes a route, and losses of processes
+    /// overlap as far as no disk is lost.
+    pub changes_in_series: bool,
     /// Whether the clocks of processes run at different rates.
     pub uneven_clocks: bool,
     /// Whether the run records a log, which `Outcome` returns.
@@ -147,6 +160,7 @@
             fault_period: millis(30_000),
             exceeds_fault_budget: false,
             splits_core: false,
+            changes_in_series: false,
             uneven_clocks: false,
             trace: false,
             bounds: Bounds::default(),
@@ -160,6 +174,17 @@
         Settings { subscribers: 0, nodes: 4, ..settings }.with_gateways(2)
     }
 
+    /// Creates settings for the whole system with a series of changes that lasts minutes.
+    pub fn change_series(seed: u64, members: usize) -> Settings {
+        let settings = Settings::whole_system(seed, members).with_gateways(SERIES_GATEWAYS);
+        Settings {
+            changes_in_series: true,
+            max_changes: MAX_SERIES_CHANGES,
+            fault_period: SERIES_FAULT_PERIOD,
+            ..settings
+        }
+    }
+
     /// Sets the number of gateways, and the number of clients in proportion.
     pub fn with_gateways(self, gateways: usize) -> Settings {
         Settings { gateways, clients: CLIENTS_PER_GATEWAY * gateways, ..self }
--- a/crates/fernknot-simulator/src/traffic/clients.rs
+++ b/crates/fernknot-simulator/src/traffic/clients.rs
@@ -4,6 +4,7 @@
 use crate::checks::sent_request::{RequestKind, SentRequest};
 use crate::event::Event;
 use crate::gateways::state::Side;
+use crate::route_slots::{SLOT_COUNT, changed_slot, slot_path};
 use crate::simulation::Simulation;
 use crate::time::millis;
 use crate::traffic::state::{Client, ClientRequest, TrafficEvent};
@@ -14,6 +15,8 @@
 const ATTEMPT_TIMEOUT: Nanos = millis(1500);
 /// Maximum number of attempts of a request.
 const MAX_ATTEMPTS: usize = 3;
+/// Number of the latest changes whose routes count as recently added or removed.
+const RECENT_CHANGES: usize = 12;
 /// Deadline in the clients' requests, in milliseconds.
 const DEADLINE_MS: u64 = 1200;
 
@@ -56,7 +59,11 @@
             return self.schedule_traffic(millis(100), TrafficEvent::ClientTurn(index));
         }
         if self.traffic.clients[index].request.is_none() {
-            let request = ClientRequest { kind: self.draw_request_kind(), attempts_left: MAX_ATTEMPTS };
+            let kind = match self.traffic.clients[index].only_gateway {
+                Some(_) => self.draw_changing_route(),
+                None => self.draw_request_kind(),
+            };
+            let request = ClientRequest { kind, attempts_left: MAX_ATTEMPTS };
             self.traffic.clients[index].request = Some(request);
         }
         let attempt = self.next_sequence();
@@ -65,7 +72,8 @@
         if let Some(connection) = self.traffic.clients[index].connection {
             return self.client_sends_request(index, connection);
         }
-        let gateway = self.rng.below(self.gateways.processes.len());
+        let only_gateway = self.traffic.clients[index].only_gateway;
+        let gateway = only_gateway.unwrap_or_else(|| self.rng.below(self.gateways.processes.len()));
         let connection = self.connect_client(index, gateway);
         let client = &mut self.traffic.clients[index];
         client.connection = Some(connection);
@@ -84,6 +92,14 @@
         }
     }
 
+    /// Draws a route that comes and goes: usually one that was added or removed recently.
+    fn draw_changing_route(&self) -> RequestKind {
+        let newest = self.observations.newest_acknowledged().map_or(0, |version| version.body);
+        let recent = newest.saturating_sub(self.rng.below(RECENT_CHANGES) as u64);
+        let any = self.rng.below(SLOT_COUNT as usize) as u64;
+        RequestKind::ChangingRoute(if self.rng.one_in(4) { any } else { changed_slot(recent) })
+    }
+
     pub(crate) fn client_connected(&mut self, index: usize, connection: u64) {
         let client = &mut self.traffic.clients[index];
         if client.connection == Some(connection) && !client.is_connected {
@@ -100,6 +116,7 @@
             RequestKind::Mutating => (format!("/m/{attempt_id}"), vec![b'x'; self.rng.below(300)]),
             RequestKind::Idempotent => (format!("/i/{attempt_id}"), Vec::new()),
             RequestKind::Probe(body) => (format!("/{body}/{attempt_id}"), Vec::new()),
+            RequestKind::ChangingRoute(slot) => (format!("{}{attempt_id}", slot_path(slot)), Vec::new()),
         };
         let method = kind.method();
         let mut bytes = format!(
--- a/crates/fernknot-simulator/src/traffic/state.rs
+++ b/crates/fernknot-simulator/src/traffic/state.rs
@@ -47,6 +47,8 @@
     /// Received bytes of an incomplete response.
     pub input: Vec<u8>,
     pub request: Option<ClientRequest>,
+    /// Gateway to which all requests go, on routes that come and go; `None` for requests to any gateway.
+    pub only_gateway: Option<usize>,
     /// Index of the gateway to which the current or last connection leads.
     pub gateway: usize,
     /// Index in `RequestChecker::requests` of the request that is waiting for a response.
@@ -74,10 +76,17 @@
     pub checker: RequestChecker,
 }
 
+/// Creates the clients, and with changes in series one more for each gateway, which observes its configuration.
+fn clients(settings: &Settings) -> Vec<Client> {
+    let observed = if settings.changes_in_series { settings.gateways } else { 0 };
+    let observers = (0..observed).map(|gateway| Client { only_gateway: Some(gateway), ..Client::default() });
+    (0..settings.clients).map(|_| Client::default()).chain(observers).collect()
+}
+
 impl Traffic {
     pub fn new(settings: &Settings) -> Traffic {
         Traffic {
-            clients: (0..settings.clients).map(|_| Client::default()).collect(),
+            clients: clients(settings),
             node_connections: BTreeMap::new(),
             overloaded_until: Nanos(0),
             checker: RequestChecker::default(),
