Add a failing test: a gateway keeps a controller that is cut off

A gateway in contact with all of them answers 404 for a route whose version was acknowledged more than apply_ms before, 2.0 s past the bound.

--- a/crates/fernknot-simulator/tests/change_series.rs
+++ b/crates/fernknot-simulator/tests/change_series.rs
@@ -30,6 +30,15 @@
     assert!(changes > 100 && observed > 1000, "{changes} changes, {observed} changing routes seen");
 }
 
+/// A controller is cut off from the other controllers, and gateways in contact with all of them leave it within the
+/// apply deadline, whatever attempts have failed before.
+#[test_case(17)]
+fn given_a_controller_cut_off_from_the_others_when_earlier_attempts_failed_then_gateways_leave_it_in_time(
+    seed: u64,
+) {
+    assert_eq!(simulate(&Settings::change_series(seed, 3)).violations, Vec::new());
+}
+
 #[test]
 fn given_a_series_of_changes_when_a_seed_runs_twice_then_logs_are_identical() {
     let settings = Settings { trace: true, ..short_series(1) };
