Add a soak of real processes with faults and changes that overlap

Judged are: responses and executions as before, 4xx on routes of every version, versions older than apply_ms allows and versions taken back (the simulator's check), requests at drained nodes, exits after SIGTERM, processes that end by themselves, changes without an acknowledgement, and what controllers and gateways have in the end.

An attempt knows its gateway and its times.

--- a/crates/fernknot-simulator/src/checks/route_versions.rs
+++ b/crates/fernknot-simulator/src/checks/route_versions.rs
@@ -9,10 +9,14 @@
 
 /// Handling of a request on a changing route by a gateway.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct RouteObservation {
+pub struct RouteObservation {
+    /// Index of the gateway.
     pub gateway: usize,
+    /// Incarnation of the gateway's process.
     pub incarnation: u64,
+    /// Slot of the route; see [`crate::route_slots`].
     pub slot: u64,
+    /// Time at which the client sent the request.
     pub sent_at: Nanos,
     /// Time of the execution, or of the arrival of the response 404 at the client.
     pub observed_at: Nanos,
@@ -24,15 +28,18 @@
 
 /// A version that an operator sent and that was not rejected.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct SentVersion {
+pub struct SentVersion {
+    /// Epoch, and as body the number of the change.
     pub version: Version,
+    /// Time at which the operator first sent it.
     pub sent_at: Nanos,
+    /// Time at which a controller acknowledged it.
     pub acknowledged_at: Option<Nanos>,
 }
 
 /// Time bounds of the check.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct VersionBounds {
+pub struct VersionBounds {
     /// Time after its acknowledgement at which a version is due at gateways in contact.
     pub apply_deadline: Nanos,
     /// Time after the first observation of a version for which an incarnation may act on an older one.
@@ -47,7 +54,7 @@
 }
 
 /// Returns the violations in the order in which the requests were sent.
-pub(crate) fn check_route_versions(
+pub fn check_route_versions(
     observations: &[RouteObservation],
     versions: &[SentVersion],
     bounds: &VersionBounds,
--- a/crates/fernknot-testbed/src/checker.rs
+++ b/crates/fernknot-testbed/src/checker.rs
@@ -157,6 +157,9 @@
     let was_executed = !executions.is_empty();
     let response = match &attempt.outcome {
         AttemptOutcome::Response(response) => response,
+        _ if attempt.may_be_cut_off && !matches!(attempt.outcome, AttemptOutcome::Response(_)) => {
+            return None;
+        }
         AttemptOutcome::Disconnected(reason) => {
             let detail = format!("it was executed, but the client received no response: {reason}");
             return was_executed.then(|| Violation::new(Rule::LostResponse, detail));
--- a/crates/fernknot-testbed/src/client.rs
+++ b/crates/fernknot-testbed/src/client.rs
@@ -4,7 +4,9 @@
 use crate::error::ConnectionError;
 use crate::http::{Connection, Message, encode_request};
 use crate::load_balancer::GatewayList;
-use crate::requests::{Attempt, AttemptOutcome, ClientResponse, Request, RequestKind};
+use crate::requests::{Attempt, AttemptOutcome, AttemptTiming, ClientResponse, Request, RequestKind};
+use fernknot_simulator::route_slots::slot_path;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -12,6 +14,8 @@
 
 /// Time-out for establishing a connection to a gateway.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Deadline of a request on a route that comes and goes.
+const OBSERVER_DEADLINE: Duration = Duration::from_secs(1);
 const MAX_ATTEMPTS: usize = 4;
 /// Delay before a retry if the response has no `Retry-After` header.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -40,11 +44,12 @@
     was_sent: bool,
     outcome: AttemptOutcome,
     retry_after: Option<Duration>,
+    timing: Option<AttemptTiming>,
 }
 
 impl AttemptResult {
     fn failed(was_sent: bool, outcome: AttemptOutcome) -> AttemptResult {
-        AttemptResult { was_sent, outcome, retry_after: None }
+        AttemptResult { was_sent, outcome, retry_after: None, timing: None }
     }
 }
 
@@ -62,8 +67,9 @@
         loop {
             let id = format!("{:016x}", self.gateways.rng.next_u64());
             let result = self.attempt(&id, kind, &target, until);
-            let may_retry = may_retry(kind, &result);
-            attempts.push(Attempt { id, was_sent: result.was_sent, outcome: result.outcome });
+            let (may_retry, retry_after) = (may_retry(kind, &result), result.retry_after);
+            let AttemptResult { was_sent, outcome, timing, .. } = result;
+            attempts.push(Attempt { id, was_sent, outcome, timing, may_be_cut_off: false });
             let remaining = until.saturating_duration_since(Instant::now());
             if !may_retry || remaining.is_zero() || attempts.len() >= MAX_ATTEMPTS {
                 let duration_ms = started_at.elapsed().as_secs_f64() * 1e3;
@@ -71,40 +77,22 @@
             }
             // Each retry uses a new connection. The delay is at most a third of the time until the request's deadline.
             self.connection = None;
-            thread::sleep(result.retry_after.unwrap_or(RETRY_DELAY).min(remaining / 3));
+            thread::sleep(retry_after.unwrap_or(RETRY_DELAY).min(remaining / 3));
         }
     }
 
+    /// Sends an attempt on the persistent connection, or on a new one.
     fn attempt(&mut self, id: &str, kind: RequestKind, target: &str, until: Instant) -> AttemptResult {
-        let mut connection = match self.take_connection() {
+        let connection = match self.take_connection() {
             Ok(connection) => connection,
             Err(error) => {
                 return AttemptResult::failed(false, AttemptOutcome::Disconnected(error.to_string()));
             }
         };
-        let request = encode_attempt(id, kind, target, until);
-        if let Err(error) = connection.send(&request, until) {
-            return AttemptResult::failed(false, AttemptOutcome::Disconnected(error.to_string()));
-        }
-        let response = match connection.read_response(until + self.deadline.mul_f64(LATE_RESPONSE_SHARE)) {
-            Ok(response) => response,
-            Err(error) if connection.buffered_bytes() > 0 => {
-                return AttemptResult::failed(true, AttemptOutcome::Malformed(error.to_string()));
-            }
-            Err(error) => {
-                return AttemptResult::failed(true, AttemptOutcome::Disconnected(error.to_string()));
-            }
-        };
-        if connection.buffered_bytes() > 0 {
-            let reason = "unexpected bytes after the response".to_string();
-            return AttemptResult::failed(true, AttemptOutcome::Malformed(reason));
-        }
-        if !response.closes_connection() {
-            self.connection = Some(connection);
-        }
-        let retry_after = retry_after(&response);
-        let outcome = AttemptOutcome::Response(client_response(kind, response));
-        AttemptResult { was_sent: true, outcome, retry_after }
+        let read_until = until + self.deadline.mul_f64(LATE_RESPONSE_SHARE);
+        let (result, connection) = timed_exchange(connection, id, kind, target, [until, read_until]);
+        self.connection = connection;
+        result
     }
 
     /// Returns the persistent connection, or a new one to a gateway that is ready.
@@ -117,6 +105,64 @@
     }
 }
 
+/// Sends one request on a new connection to a gateway, on a route that comes and goes.
+pub(crate) fn request_on_route(gateway: SocketAddrV4, slot: u64, number: u64) -> Request {
+    let kind = RequestKind::Single;
+    let (id, target) = (format!("{number:016x}"), format!("{}{:08x}", slot_path(slot), number as u32));
+    let started_at = Instant::now();
+    let until = started_at + OBSERVER_DEADLINE;
+    let result = match Connection::connect(gateway, CONNECT_TIMEOUT) {
+        Ok(connection) => timed_exchange(connection, &id, kind, &target, [until, until]).0,
+        Err(error) => AttemptResult::failed(false, AttemptOutcome::Disconnected(error.to_string())),
+    };
+    let AttemptResult { was_sent, outcome, timing, .. } = result;
+    let attempts = vec![Attempt { id, was_sent, outcome, timing, may_be_cut_off: false }];
+    Request { kind, target, attempts, duration_ms: started_at.elapsed().as_secs_f64() * 1e3 }
+}
+
+/// Sends a request and reads its response, until the two given times. Returns the connection too if it stays open.
+fn timed_exchange(
+    connection: Connection,
+    id: &str,
+    kind: RequestKind,
+    target: &str,
+    [send_until, read_until]: [Instant; 2],
+) -> (AttemptResult, Option<Connection>) {
+    let (gateway, sent_at) = (connection.peer, Instant::now());
+    let request = encode_attempt(id, kind, target, send_until);
+    let (result, connection) = exchange(connection, kind, &request, [send_until, read_until]);
+    let timing = AttemptTiming { gateway, sent_at, ended_at: Instant::now() };
+    (AttemptResult { timing: Some(timing), ..result }, connection)
+}
+
+fn exchange(
+    mut connection: Connection,
+    kind: RequestKind,
+    request: &[u8],
+    [send_until, read_until]: [Instant; 2],
+) -> (AttemptResult, Option<Connection>) {
+    if let Err(error) = connection.send(request, send_until) {
+        return (AttemptResult::failed(false, AttemptOutcome::Disconnected(error.to_string())), None);
+    }
+    let response = match connection.read_response(read_until) {
+        Ok(response) => response,
+        Err(error) if connection.buffered_bytes() > 0 => {
+            return (AttemptResult::failed(true, AttemptOutcome::Malformed(error.to_string())), None);
+        }
+        Err(error) => {
+            return (AttemptResult::failed(true, AttemptOutcome::Disconnected(error.to_string())), None);
+        }
+    };
+    if connection.buffered_bytes() > 0 {
+        let reason = "unexpected bytes after the response".to_string();
+        return (AttemptResult::failed(true, AttemptOutcome::Malformed(reason)), None);
+    }
+    let connection = (!response.closes_connection()).then_some(connection);
+    let retry_after = retry_after(&response);
+    let outcome = AttemptOutcome::Response(client_response(kind, response));
+    (AttemptResult { was_sent: true, outcome, retry_after, timing: None }, connection)
+}
+
 fn encode_attempt(id: &str, kind: RequestKind, target: &str, until: Instant) -> Vec<u8> {
     let remaining_ms = until.saturating_duration_since(Instant::now()).as_millis();
     let headers = [
--- a/crates/fernknot-testbed/src/cluster/mod.rs
+++ b/crates/fernknot-testbed/src/cluster/mod.rs
@@ -236,6 +236,30 @@
         self.process_mut(role, number)?.signal(Signal::TERM)
     }
 
+    /// Suspends a process (SIGSTOP). `resume` continues it.
+    ///
+    /// # Errors
+    /// The process is not running.
+    pub fn suspend(&mut self, role: Role, number: usize) -> Result<(), ClusterError> {
+        self.process_mut(role, number)?.signal(Signal::STOP)
+    }
+
+    /// Continues a suspended process (SIGCONT).
+    ///
+    /// # Errors
+    /// The process is not running.
+    pub fn resume(&mut self, role: Role, number: usize) -> Result<(), ClusterError> {
+        self.process_mut(role, number)?.signal(Signal::CONT)
+    }
+
+    /// Makes a process read its settings file again (SIGHUP).
+    ///
+    /// # Errors
+    /// The process is not running.
+    pub fn reload(&mut self, role: Role, number: usize) -> Result<(), ClusterError> {
+        self.process_mut(role, number)?.signal(Signal::HUP)
+    }
+
     /// Returns the exit status of a process that has ended since the last call; none if it runs or was not started.
     pub fn exit_status(&mut self, role: Role, number: usize) -> Option<ExitStatus> {
         self.process_mut(role, number).ok()?.exit_status()
@@ -257,6 +281,14 @@
         self.process(role, number).map(Process::log_lines).unwrap_or_default()
     }
 
+    /// Returns the last lines of all processes' logs, each after the process's name.
+    pub fn all_log_lines(&self) -> Vec<String> {
+        let lines = |process: &Process| -> Vec<String> {
+            process.log_lines().iter().map(|line| format!("{}: {line}", process.name)).collect()
+        };
+        self.processes.iter().flat_map(lines).collect()
+    }
+
     /// Returns the resource usage of a process; none if it is not running.
     pub fn usage(&self, role: Role, number: usize) -> Option<Usage> {
         Usage::of_process(self.process(role, number)?.id()?)
--- a/crates/fernknot-testbed/src/cluster/role.rs
+++ b/crates/fernknot-testbed/src/cluster/role.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 /// Role of a process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Role {
     /// Controller, in the control plane.
     Controller,
--- a/crates/fernknot-testbed/src/config_draft.rs
+++ b/crates/fernknot-testbed/src/config_draft.rs
@@ -1,5 +1,6 @@
 //! Routing configurations of test clusters.
 
+use fernknot_simulator::route_slots::{SLOT_COUNT, contains_slot, slot_path};
 use serde_json::{Value, json};
 
 /// Host name of all routes.
@@ -16,6 +17,8 @@
     pub shards: usize,
     /// Number of unused routes, which only make the configuration larger.
     pub filler_routes: usize,
+    /// Number of the change in a series, by which it has some of the routes that come and go; none for no such routes.
+    pub change: Option<u64>,
     /// Maximum number of records in a gathered response.
     pub top_k: usize,
     /// Minimum share of shards in a successful gathered response, from 0 to 1.
@@ -34,6 +37,7 @@
             epoch: 1,
             shards: 4,
             filler_routes: 0,
+            change: None,
             top_k: 20,
             quorum: 0.5,
             max_attempts: 2,
@@ -73,6 +77,11 @@
             let prefix = format!("/filler/{number}/of/{}/", self.epoch);
             self.route(&format!("filler-{number}"), &prefix, "idempotent", &single)
         }));
+        let slots =
+            (0..SLOT_COUNT).filter(|slot| self.change.is_some_and(|change| contains_slot(change, *slot)));
+        routes.extend(
+            slots.map(|slot| self.route(&format!("slot-{slot}"), &slot_path(slot), "idempotent", &single)),
+        );
         let services: Vec<Value> = self.services().iter().map(|name| service(name)).collect();
         json!({
             "epoch": self.epoch, "routes": routes, "backends": services,
--- a/crates/fernknot-testbed/src/execution_log.rs
+++ b/crates/fernknot-testbed/src/execution_log.rs
@@ -1,6 +1,7 @@
 //! Log of the requests that nodes executed.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// Execution of a request by a node.
 #[derive(Clone, Debug)]
@@ -13,6 +14,8 @@
     pub seal: Option<String>,
     /// Body of the response; empty if the execution failed.
     pub body: Vec<u8>,
+    /// Time since the acknowledgement of the node's drain; none if the drain was not acknowledged.
+    pub since_drain: Option<Duration>,
 }
 
 /// Executions and numbers of rejected requests of all nodes.
--- a/crates/fernknot-testbed/src/lib.rs
+++ b/crates/fernknot-testbed/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`requests`], [`checker`] | requests with their outcomes, and their comparison with the nodes' executions |
 //! | [`cluster`] | processes of the real programs, their settings, start and stop |
 //! | [`usage`] | processor time and memory of a process |
+//! | [`soak`] | series of faults and changes that overlap, and the verdict on them |
 //! | [`measure`](mod@measure) | cost of each role by the number of gateways, nodes, routes, changes and queries |
 
 #![deny(missing_docs)]
@@ -40,6 +41,7 @@
 pub mod nodes;
 pub mod operator;
 pub mod requests;
+pub mod soak;
 pub mod subscription;
 pub mod usage;
 
--- a/crates/fernknot-testbed/src/nodes/control.rs
+++ b/crates/fernknot-testbed/src/nodes/control.rs
@@ -79,6 +79,9 @@
     }
     if call_controller(shared, node, NodeCall::Heartbeat) {
         shared.acknowledged_heartbeats.fetch_add(1, Ordering::Relaxed);
+        if is_draining {
+            lock(&node.drain_acknowledged_at).get_or_insert_with(Instant::now);
+        }
         let due_at = (now + interval).max(now + shared.heartbeat_interval.mul_f64(0.05));
         Some(NextHeartbeat { due_at, was_draining: is_draining })
     } else {
--- a/crates/fernknot-testbed/src/nodes/node.rs
+++ b/crates/fernknot-testbed/src/nodes/node.rs
@@ -7,7 +7,7 @@
 use std::net::{Shutdown, SocketAddr, SocketAddrV4, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time-out of a call to a controller, after which the next controller is called.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -50,6 +50,8 @@
     pub slot_released: Condvar,
     pub is_draining: AtomicBool,
     pub has_stopped: AtomicBool,
+    /// Time at which a controller acknowledged the node's drain.
+    pub drain_acknowledged_at: Mutex<Option<Instant>>,
     pub call_sequence: AtomicU64,
     connections: Mutex<Vec<TcpStream>>,
     /// Connection to the controller that acknowledged the last call; none if the last call failed.
@@ -66,6 +68,7 @@
             slot_released: Condvar::new(),
             is_draining: AtomicBool::new(false),
             has_stopped: AtomicBool::new(false),
+            drain_acknowledged_at: Mutex::default(),
             call_sequence: AtomicU64::new(0),
             connections: Mutex::default(),
             controller_connection: Mutex::default(),
--- a/crates/fernknot-testbed/src/nodes/server.rs
+++ b/crates/fernknot-testbed/src/nodes/server.rs
@@ -127,6 +127,7 @@
         target: target.to_string(),
         seal: seal.clone(),
         body: body.clone(),
+        since_drain: lock(&node.drain_acknowledged_at).map(|at| at.elapsed()),
     };
     // Logged before the service time: a request counts as executed once its execution begins.
     lock(&shared.execution_log).executions.entry(attempt_id.to_string()).or_default().push(execution);
--- a/crates/fernknot-testbed/src/requests.rs
+++ b/crates/fernknot-testbed/src/requests.rs
@@ -1,5 +1,8 @@
 //! Requests of clients, with the outcomes of their attempts.
 
+use std::net::SocketAddrV4;
+use std::time::Instant;
+
 /// Kind of request, each with its own route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -58,6 +61,17 @@
     Malformed(String),
 }
 
+/// Gateway and times of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptTiming {
+    /// Address at which the gateway accepts clients.
+    pub gateway: SocketAddrV4,
+    /// Time at which the client began to send the request.
+    pub sent_at: Instant,
+    /// Time at which the attempt ended.
+    pub ended_at: Instant,
+}
+
 /// Attempt of a request, sent to one gateway.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -67,6 +81,10 @@
     pub was_sent: bool,
     /// Outcome of the attempt.
     pub outcome: AttemptOutcome,
+    /// Gateway and times of the attempt; none if there was no gateway to send it to.
+    pub timing: Option<AttemptTiming>,
+    /// Whether the response may be lost or cut off, because the gateway was killed or suspended around the attempt.
+    pub may_be_cut_off: bool,
 }
 
 /// Request of a client with all its attempts.
--- a/crates/fernknot-testbed/tests/checker.rs
+++ b/crates/fernknot-testbed/tests/checker.rs
@@ -7,7 +7,13 @@
 
 fn execution(service: &str, seal: &str, records: &[u8]) -> Execution {
     let body = records.iter().flat_map(|first_byte| [[*first_byte; 8], [0; 8]].concat()).collect();
-    Execution { service: service.into(), target: "/t".into(), seal: Some(seal.into()), body }
+    Execution {
+        service: service.into(),
+        target: "/t".into(),
+        seal: Some(seal.into()),
+        body,
+        since_drain: None,
+    }
 }
 
 fn records(first_bytes: &[u8]) -> Vec<u8> {
@@ -51,7 +57,7 @@
     outcome: AttemptOutcome,
     executions: Vec<Execution>,
 ) -> Vec<Rule> {
-    let attempt = Attempt { id: "t1".into(), was_sent: true, outcome };
+    let attempt = Attempt { id: "t1".into(), was_sent: true, outcome, timing: None, may_be_cut_off: false };
     let request = Request { kind, target: "/t".into(), attempts: vec![attempt], duration_ms: 1.0 };
     let mut log = ExecutionLog::default();
     log.executions.insert("t1".into(), executions);
--- a/crates/fernknot-testbed/tests/common/mod.rs
+++ b/crates/fernknot-testbed/tests/common/mod.rs
@@ -1,39 +1,22 @@
 //! Functions shared by the tests of this package: they build the programs and start a complete system.
 
+mod programs;
+
+pub use programs::build_missing_programs;
+
 use fernknot_testbed::checker::Expectations;
-use fernknot_testbed::cluster::{Cluster, ClusterSettings, Role, find_program, wait_until};
+use fernknot_testbed::cluster::{Cluster, ClusterSettings, wait_until};
 use fernknot_testbed::config_draft::{ConfigDraft, SINGLE_SERVICE};
 use fernknot_testbed::load::{Load, LoadSettings};
 use fernknot_testbed::load_balancer::LoadBalancer;
 use fernknot_testbed::nodes::{NodeSettings, Nodes};
 use fernknot_testbed::operator::{CallOutcome, Operator};
 use fernknot_testbed::requests::RequestKind;
-use std::process::Command;
-use std::sync::Once;
 use std::time::Duration;
 
 /// Time-out of all awaited conditions.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
 
-/// Builds the controller and gateway programs if they are missing in the directories that the cluster searches.
-pub fn build_missing_programs() {
-    static BUILT: Once = Once::new();
-    BUILT.call_once(|| {
-        let roles = [Role::Controller, Role::Gateway];
-        if roles.iter().all(|role| find_program(role.program()).is_ok()) {
-            return;
-        }
-        let test_program = std::env::current_exe().unwrap();
-        let profile_directory = test_program.ancestors().nth(2).unwrap();
-        let profile_name = profile_directory.file_name().unwrap().to_str().unwrap();
-        let mut build = Command::new(env!("CARGO"));
-        build.args(["build", "--profile", if profile_name == "debug" { "dev" } else { profile_name }]);
-        roles.iter().for_each(|role| _ = build.args(["-p", role.program()]));
-        build.env("CARGO_TARGET_DIR", profile_directory.parent().unwrap());
-        assert!(build.status().unwrap().success(), "the programs do not build");
-    });
-}
-
 /// Three controllers, two ready gateways, two nodes of each service, and the first configuration.
 pub struct System {
     pub cluster: Cluster,
