--- a/crates/fernknot-testbed/src/lib.rs
+++ b/crates/fernknot-testbed/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`cluster`] | processes of the real programs, their settings, start and stop |
 //! | [`platform`], [`platform_checker`] | stand-in of the platform's interface, and the check of the calls to it |
 //! | [`usage`] | processor time and memory of a process |
+//! | [`soak`] | series of faults and changes that overlap, and the verdict on them |
 //! | [`measure`](mod@measure) | cost of each role by the number of gateways, nodes, routes, changes and queries |
 
 #![deny(missing_docs)]
@@ -43,6 +44,7 @@
 pub mod platform;
 pub mod platform_checker;
 pub mod requests;
+pub mod soak;
 pub mod subscription;
 pub mod usage;
 
