Report the delays of the machine with a soak

A violation of a time bound could come from the programs or from a machine that doesn't give them the processor or the disk in time; the report of a soak did not tell these apart.

--- a/crates/fernknot-testbed/src/bin/fernknot-soak/main.rs
+++ b/crates/fernknot-testbed/src/bin/fernknot-soak/main.rs
@@ -63,15 +63,17 @@
 }
 
 fn print_report(seed: u64, report: &SoakReport) {
-    let SoakReport { violations, requests, served, changes, sightings, faults, longest_lag, .. } = report;
+    let SoakReport { violations, requests, served, changes, sightings, faults, lag, .. } = report;
     for violation in violations {
         println!("seed {seed}: {violation}");
     }
     println!(
         "seed {seed}: {requests} requests, {served} served, {changes} changes, {faults} faults, routes seen {}, in \
-         contact {}, longest lag {longest_lag:.1?}: {} violations",
+         contact {}, longest wake-up {:.1?}, disk sync {:.1?}: {} violations",
         sightings.0,
         sightings.1,
+        lag.wake_up,
+        lag.disk_sync,
         violations.len()
     );
 }
--- a/crates/fernknot-testbed/src/soak/mod.rs
+++ b/crates/fernknot-testbed/src/soak/mod.rs
@@ -12,6 +12,7 @@
 mod settings;
 mod verdict;
 
+pub use lag::Lag;
 pub use run::run_soak;
 pub use schedule::{Fault, FaultKind, draw_schedule};
 pub use settings::SoakSettings;
--- a/crates/fernknot-testbed/src/soak/run.rs
+++ b/crates/fernknot-testbed/src/soak/run.rs
@@ -70,7 +70,7 @@
     let load = Load::start(&load_balancer, &load_settings(settings));
     let changes = ChangeSeries::start(soak.operator.clone(), draft.clone(), settings.seed);
     let observers = Observers::start(&soak.cluster, &changes.log, settings.seed);
-    let lag = LagMeter::start();
+    let lag = LagMeter::start(tempfile::tempfile().ok());
     soak.started_at = Instant::now();
     let faults = draw_schedule(settings);
     soak.inject_all(&faults)?;
@@ -94,7 +94,7 @@
         served,
     };
     let mut report = evidence.judge(&soak.nodes.execution_log());
-    report.longest_lag = lag.finish();
+    report.lag = lag.finish();
     if !report.violations.is_empty() {
         report.logs = soak.cluster.all_log_lines();
     }
--- a/crates/fernknot-testbed/src/soak/verdict.rs
+++ b/crates/fernknot-testbed/src/soak/verdict.rs
@@ -7,6 +7,7 @@
 use crate::requests::{AttemptOutcome, Request};
 use crate::soak::changes::ChangeLog;
 use crate::soak::history::History;
+use crate::soak::lag::Lag;
 use crate::soak::observers::Sighting;
 use fernknot::interface::Nanos;
 use fernknot_simulator::linearizability::Version;
@@ -34,8 +35,8 @@
     pub sightings: (usize, usize),
     /// Number of faults.
     pub faults: usize,
-    /// Longest delay with which the machine woke a thread of this process, as a sign of overload.
-    pub longest_lag: Duration,
+    /// Longest delays on the machine, as signs of overload.
+    pub lag: Lag,
     /// Last log lines of all processes, each after the process's name; empty if no rule is broken.
     pub logs: Vec<String>,
 }
@@ -73,7 +74,7 @@
             changes: acknowledged.count(),
             sightings: (observations.len(), in_contact),
             faults: self.faults,
-            longest_lag: Duration::ZERO,
+            lag: Lag::default(),
             logs: Vec::new(),
         }
     }
