--- a/crates/fernknot-testbed/src/soak/history.rs
+++ b/crates/fernknot-testbed/src/soak/history.rs
@@ -71,11 +71,11 @@
         let since = time.checked_sub(CONTACT_TIMEOUT).unwrap_or(time);
         let is_calm = since >= self.started_at
             && self.overlapping(Role::Gateway, since, time).all(|disturbance| disturbance.number != gateway);
-        let is_core_settled = self
+        let is_core_stable = self
             .overlapping(Role::Controller, since, time)
-            .all(|disturbance| disturbance.begins_at < since && disturbance.lasts_at(time));
+            .all(|disturbance| disturbance.begins_at < since && disturbance.is_active_at(time));
         let down = self.overlapping(Role::Controller, time, time).count();
-        is_calm && is_core_settled && (self.controllers - down.min(self.controllers)) * 2 > self.controllers
+        is_calm && is_core_stable && (self.controllers - down.min(self.controllers)) * 2 > self.controllers
     }
 
     /// Returns whether a gateway may lose the response to a request that was in progress in this interval.
@@ -96,7 +96,7 @@
 }
 
 impl Disturbance {
-    fn lasts_at(&self, time: Instant) -> bool {
+    fn is_active_at(&self, time: Instant) -> bool {
         self.ends_at.is_none_or(|ends_at| ends_at > time)
     }
 }
