--- a/crates/fernknot-gateway/src/gateway.rs
+++ b/crates/fernknot-gateway/src/gateway.rs
@@ -20,7 +20,7 @@
 use fernknot_protocol::http::Request;
 use fernknot_registry::NodeRecord;
 use fernknot_rpc::InspectionTopic;
-use fernknot_schema::{ProcessSettings, SystemConfig};
+use fernknot_schema::{PlatformApi, ProcessSettings, SystemConfig};
 use fernknot_telemetry::component;
 use std::net::SocketAddrV4;
 
@@ -77,7 +77,7 @@
                 &process.bounds,
                 seed,
             ),
-            reports_usage: process.platform_api.is_some(),
+            reports_usage: process.platform_api.as_ref().is_some_and(PlatformApi::wants_usage),
             is_synchronized: false,
             discovery: Discovery::new(descriptor, &seeds, &settings, seed),
             shutdown: Shutdown::new(Nanos::from_millis(process.bounds.grace_s * 1e3)),
--- a/crates/fernknot-gateway/tests/scenarios/api_keys.rs
+++ b/crates/fernknot-gateway/tests/scenarios/api_keys.rs
@@ -1,7 +1,7 @@
 //! Keys of tenants: which requests need one, what nodes receive, and what clients get without a valid one.
 
 use super::{Scenario, config, node_record, node_response};
-use crate::simulation::settings;
+use crate::simulation::{APPLY_MS, settings};
 use fernknot::interface::Nanos;
 use fernknot_net::ConnectionId;
 use fernknot_ownership::{GatewayRecord, IncarnationId};
@@ -320,3 +320,19 @@
     scenario.apply_config(routes());
     assert_eq!(configs(&scenario.take_updates(subscriber)), [(2, Some(&fewer)), (3, None)]);
 }
+
+/// Guards against a 401 for a key that a newer configuration has, while no controller is in contact.
+#[test]
+fn given_an_unconfirmed_configuration_when_a_key_is_missing_or_unknown_then_the_response_is_503() {
+    let mut scenario = start();
+    for headers in ["", "Authorization: Bearer unknown\r\n"] {
+        let client = send(&mut scenario, &request("/m/", headers));
+        assert!(scenario.take_output(client).starts_with("HTTP/1.1 401 "));
+    }
+    scenario.advance(Nanos::from_millis(APPLY_MS));
+    for headers in ["", "Authorization: Bearer unknown\r\n"] {
+        let client = send(&mut scenario, &request("/m/", headers));
+        let response = scenario.take_output(client);
+        assert!(response.starts_with("HTTP/1.1 503 ") && response.contains("Retry-After: "), "{response}");
+    }
+}
