--- a/crates/fernknot-gateway/tests/scenarios/relayed_updates.rs
+++ b/crates/fernknot-gateway/tests/scenarios/relayed_updates.rs
@@ -148,3 +148,15 @@
     scenario.advance(HEARTBEAT_INTERVAL);
     assert!(is_complete(&scenario.take_updates(subscriber)));
 }
+
+// After a stall of the relay, the restarted time-outs of its sources say nothing about the age of its configuration.
+#[test]
+fn given_a_relay_that_stalled_when_a_gateway_subscribes_then_its_snapshot_is_complete_after_the_next_lease() {
+    let mut scenario = Scenario::start(260, config(ClientLimits::default()));
+    scenario.stall(OUTAGE);
+    let subscriber = scenario.connect_subscriber(Subscription::All);
+    assert!(!is_complete(&scenario.take_updates(subscriber)));
+    scenario.send_heartbeat();
+    scenario.advance(HEARTBEAT_INTERVAL);
+    assert!(is_complete(&scenario.take_updates(subscriber)));
+}
