--- a/crates/fernknot-distribution/src/relays.rs
+++ b/crates/fernknot-distribution/src/relays.rs
@@ -208,6 +208,14 @@
         leased.map(|subscription| now - subscription.last_leased_at).min()
     }
 
+    /// Whether a current source of the topic has sent a heartbeat with a lease within `period`. Unlike
+    /// [`Self::time_since_lease`], false after [`Self::reset_liveness`] until the next one.
+    pub fn has_lease_within(&self, now: Nanos, topic: &Topic, period: Nanos) -> bool {
+        self.subscriptions.values().any(|subscription| {
+            subscription.topics.contains(topic) && subscription.has_sent_lease_within(now, period)
+        })
+    }
+
     /// Address of the controller that this gateway subscribes to, if it needs one.
     pub fn controller(&self) -> Option<SocketAddrV4> {
         self.controllers.current()
--- a/crates/fernknot-gateway/src/updates/relay/forwarding.rs
+++ b/crates/fernknot-gateway/src/updates/relay/forwarding.rs
@@ -45,8 +45,7 @@
     pub(super) fn complete_snapshots<N: Network>(&mut self, now: Nanos, network: &mut N) {
         let UpdateRelay { relays, snapshots, services, .. } = self;
         let current_for = self.heartbeat_interval.times(CURRENT_INTERVALS);
-        let is_current =
-            |topic: &Topic| relays.time_since_lease(now, topic).is_some_and(|age| age <= current_for);
+        let is_current = |topic: &Topic| relays.has_lease_within(now, topic, current_for);
         let is_complete = |subscription: &Subscription| {
             snapshots.covers(subscription, services)
                 && topics_of(subscription, services).iter().all(is_current)
