--- a/crates/fernknot-controller/src/controller/inspection.rs
+++ b/crates/fernknot-controller/src/controller/inspection.rs
@@ -36,8 +36,10 @@
                 self.settings.tolerated_losses,
                 self.holds_lease(),
             ),
-            InspectionTopic::Relays | InspectionTopic::Ownership => {
-                reports::assignment(self.ownership.assignment())
+            InspectionTopic::Relays => reports::assignment(self.ownership.assignment()),
+            InspectionTopic::Ownership => {
+                let reporter = self.reporter_status().as_ref().map(reports::reporter);
+                reports::assignment(self.ownership.assignment()) + &reporter.unwrap_or_default()
             }
             InspectionTopic::Counters => {
                 self.refresh_gauges();
@@ -66,7 +68,7 @@
         let gauges = [
             (counter::VIEW, self.consensus.view().map_or(0, |view| view.number.0)),
             (counter::EPOCH, self.active_config.state.epoch),
-            (counter::REVISION, self.active_config.revision),
+            (counter::REVISION, self.active_config.config_revision),
             (counter::LEASE, self.holds_lease() as u64),
             (counter::REMAINING_FAULT_TOLERANCE, fault_tolerance as u64),
             (counter::NODES_UP, self.nodes.up_count() as u64),
@@ -76,5 +78,6 @@
             (counter::DISK_HEALTHY, self.disk.is_healthy as u64),
         ];
         gauges.into_iter().for_each(|(name, value)| self.counters.set(name, value));
+        self.refresh_usage_gauges();
     }
 }
--- a/crates/fernknot-controller/src/settings.rs
+++ b/crates/fernknot-controller/src/settings.rs
@@ -3,6 +3,7 @@
 use fernknot::interface::Nanos;
 use fernknot_consensus::{ConsensusSettings, Member, MemberId};
 use fernknot_schema::DigestKey;
+use fernknot_usage_reporting::ReportingSettings;
 use std::net::SocketAddrV4;
 
 /// Suspicion timeout, after which the consensus members consider a silent one failed, as a share of the contact
@@ -10,9 +11,6 @@
 const SUSPICION_SHARE: f64 = 0.25;
 /// Interval between heartbeats of consensus members, as a share of the suspicion timeout.
 const MEMBER_HEARTBEAT_SHARE: f64 = 0.2;
-/// Duration of a controller's lease: time for which the answers of a majority to its heartbeats count, as a share of
-/// the suspicion timeout.
-const LEASE_SHARE: f64 = 0.8;
 /// Interval between heartbeats to subscribers, as a share of the apply deadline.
 const SUBSCRIBER_HEARTBEAT_SHARE: f64 = 1.0 / 12.0;
 
@@ -45,6 +43,8 @@
     pub seed: u64,
     /// Secret of the digests that gateways get in place of the tenants' keys.
     pub digest_key: DigestKey,
+    /// Settings of the role of usage reporter; None if there is none.
+    pub usage_reporting: Option<ReportingSettings>,
 }
 
 impl ControllerSettings {
@@ -78,7 +78,7 @@
             fault_tolerance: self.tolerated_losses,
             suspicion_timeout,
             heartbeat_interval: suspicion_timeout.times(MEMBER_HEARTBEAT_SHARE),
-            lease_duration: suspicion_timeout.times(LEASE_SHARE),
+            lease_duration: fernknot_ownership::lease_duration(self.contact_timeout),
         }
     }
 }
--- a/crates/fernknot-distribution/src/relays.rs
+++ b/crates/fernknot-distribution/src/relays.rs
@@ -50,6 +50,7 @@
     subscriptions: Subscriptions,
     subscribers: Subscribers,
     newest_seen: SourceHeartbeat,
+    configuration_confirmed_until: Nanos,
     actions: VecDeque<Action>,
     needs_update: bool,
     next_update_at: Nanos,
@@ -59,25 +60,27 @@
     /// Creates the state of a gateway with [`Topic::Configuration`] as its only topic, and without sources.
     ///
     /// `apply_deadline` is the time within which an acknowledged update has to be in force (`apply_ms` of the
-    /// settings); `seed` makes this process's random choices repeatable.
+    /// settings), `lease_duration` the time for which controllers hold a lease; `seed` makes this process's random choices repeatable.
     pub fn new(
         incarnation: IncarnationId,
         zone: &str,
         apply_deadline: Nanos,
+        lease_duration: Nanos,
         limits: RelaysLimits,
         seed: u64,
     ) -> Relays {
-        let timing = Timing::new(apply_deadline);
+        let timing = Timing::new(apply_deadline, lease_duration);
         Relays {
             limits,
             timing,
             upstreams: TopicUpstreams::new(incarnation, zone),
-            controllers: ControllerSelection::new(zone),
+            controllers: ControllerSelection::new(zone, &timing),
             relay_health: RelayHealth::default(),
             backoff: Backoff::new(seed, timing.stale_after),
             subscriptions: Subscriptions::new(),
             subscribers: Subscribers::new(limits.max_subscribers),
             newest_seen: SourceHeartbeat::default(),
+            configuration_confirmed_until: Nanos(0),
             actions: VecDeque::new(),
             needs_update: true,
             next_update_at: Nanos(0),
@@ -91,7 +94,7 @@
 
     /// Time between two heartbeats of a source, for the `apply_deadline` of [`Self::new`].
     pub fn heartbeat_interval(apply_deadline: Nanos) -> Nanos {
-        Timing::new(apply_deadline).heartbeat_interval
+        Timing::new(apply_deadline, Nanos(0)).heartbeat_interval
     }
 
     /// Sets the services of the configuration in force.
@@ -130,6 +133,13 @@
         let heartbeat = heartbeat.without_lease_if_looping();
         let was_fresh = subscription.is_fresh(now, stale_after);
         subscription.record_heartbeat(now, &heartbeat, stale_after);
+        if heartbeat.has_lease
+            && subscription.topics.contains(&Topic::Configuration)
+            && subscription.is_last_lease_recent(self.timing.min_lease_spacing)
+        {
+            let until = now + self.timing.confirmation_validity(heartbeat.hops);
+            self.configuration_confirmed_until = self.configuration_confirmed_until.max(until);
+        }
         let freshness_differs = was_fresh != subscription.is_fresh(now, stale_after);
         let is_unleased_controller = kind == SourceKind::Controller && !heartbeat.has_lease;
         self.needs_update |= freshness_differs || is_unleased_controller;
@@ -155,7 +165,7 @@
         }
         self.backoff.record_failure(now, addr);
         match kind {
-            SourceKind::Controller => self.controllers.remove(addr),
+            SourceKind::Controller => self.controllers.remove(now, addr),
             SourceKind::Relay => self.relay_health.mark_stale(addr),
         }
         self.needs_update = true;
@@ -184,6 +194,12 @@
         self.newest_seen
     }
 
+    /// Time until which the revision in [`Self::newest_seen`] includes every change of the configuration that was
+    /// acknowledged earlier than the deadline. Only such a configuration proves that a route does not exist.
+    pub fn configuration_confirmed_until(&self) -> Nanos {
+        self.configuration_confirmed_until
+    }
+
     /// Time since a source of the topic last sent a heartbeat with a lease; `None` if no current source ever did.
     pub fn time_since_lease(&self, now: Nanos, topic: &Topic) -> Option<Nanos> {
         let leased = self.subscriptions.values().filter(|subscription| {
@@ -192,6 +208,14 @@
         leased.map(|subscription| now - subscription.last_leased_at).min()
     }
 
+    /// Whether a current source of the topic has sent a heartbeat with a lease within `period`. Unlike
+    /// [`Self::time_since_lease`], false after [`Self::reset_liveness`] until the next one.
+    pub fn has_lease_within(&self, now: Nanos, topic: &Topic, period: Nanos) -> bool {
+        self.subscriptions.values().any(|subscription| {
+            subscription.topics.contains(topic) && subscription.has_sent_lease_within(now, period)
+        })
+    }
+
     /// Address of the controller that this gateway subscribes to, if it needs one.
     pub fn controller(&self) -> Option<SocketAddrV4> {
         self.controllers.current()
@@ -254,6 +278,18 @@
         let desired = self.desired_subscriptions(&topics);
         self.unsubscribe_undesired(&desired);
         self.subscribe_to(now, desired);
+        self.schedule_update(now, &topics);
+    }
+
+    /// Brings the next update forward to the next deadline of the selection of a controller.
+    fn schedule_update(&mut self, now: Nanos, topics_from_controller: &BTreeSet<Topic>) {
+        if topics_from_controller.is_empty() {
+            return;
+        }
+        let deadline = self.controllers.next_deadline(now, &self.subscriptions, &self.backoff, &self.timing);
+        if let Some(at) = deadline.filter(|at| *at > now) {
+            self.next_update_at = self.next_update_at.min(at);
+        }
     }
 
     fn desired_subscriptions(&self, topics_from_controller: &BTreeSet<Topic>) -> DesiredSubscriptions {
--- a/crates/fernknot-gateway/src/clients/rejection.rs
+++ b/crates/fernknot-gateway/src/clients/rejection.rs
@@ -22,8 +22,14 @@
 pub(crate) enum Rejection {
     /// No configuration is in force yet.
     NoConfig,
+    /// The configuration in force does not allow the request, but may not be the newest one.
+    UnconfirmedConfig,
     /// No route matches the request.
     NoRoute,
+    /// The route needs a key, and the request has none, or more than one, or other credentials.
+    MissingApiKey,
+    /// The request has a key that no tenant of the configuration has.
+    UnknownApiKey,
     /// `Attempt-Id` is missing or empty, is longer than 256 bytes, or contains other characters than printable ASCII
     /// without spaces.
     InvalidAttemptId,
@@ -38,7 +44,9 @@
 impl Rejection {
     pub(crate) fn reply(&self) -> LocalReply<'static> {
         let retry_after = match self {
-            Rejection::NoConfig | Rejection::TooManyPartialBodies => Some(DEFAULT_RETRY_AFTER),
+            Rejection::NoConfig | Rejection::UnconfirmedConfig | Rejection::TooManyPartialBodies => {
+                Some(DEFAULT_RETRY_AFTER)
+            }
             _ => None,
         };
         LocalReply { status: self.status(), retry_after, body: self.body() }
@@ -49,10 +57,11 @@
         matches!(self, Rejection::Malformed(_) | Rejection::TooManyPartialBodies | Rejection::ReceiveTimeout)
     }
 
-    fn status(&self) -> u16 {
+    pub(crate) fn status(&self) -> u16 {
         match self {
-            Rejection::NoConfig | Rejection::TooManyPartialBodies => 503,
+            Rejection::NoConfig | Rejection::UnconfirmedConfig | Rejection::TooManyPartialBodies => 503,
             Rejection::NoRoute => 404,
+            Rejection::MissingApiKey | Rejection::UnknownApiKey => 401,
             Rejection::InvalidAttemptId => 400,
             Rejection::Malformed(error) => error.status,
             Rejection::ReceiveTimeout => 408,
@@ -62,7 +71,10 @@
     fn body(&self) -> &'static [u8] {
         match self {
             Rejection::NoConfig => b"no configuration yet\n",
+            Rejection::UnconfirmedConfig => b"the configuration may be outdated\n",
             Rejection::NoRoute => b"no route\n",
+            Rejection::MissingApiKey => b"a key is needed\n",
+            Rejection::UnknownApiKey => b"unknown key\n",
             Rejection::InvalidAttemptId => b"Attempt-Id is missing or unfit\n",
             Rejection::Malformed(error) => error.reason.as_bytes(),
             Rejection::TooManyPartialBodies => b"too much is coming at once\n",
--- a/crates/fernknot-gateway/src/data_plane.rs
+++ b/crates/fernknot-gateway/src/data_plane.rs
@@ -5,7 +5,7 @@
 use crate::budget::BudgetShare;
 use crate::clients::{ClientConnections, ClientRead, Rejection};
 use crate::config_snapshot::ConfigSnapshot;
-use crate::counters::ClientCounters;
+use crate::counters::{ClientCounters, ServingState};
 use crate::engine_setup::initial_site;
 use crate::error::GatewayError;
 use crate::listeners::ListenAddress;
@@ -18,7 +18,7 @@
 use fernknot_engine::{Action, RequesterId, Verdict};
 use fernknot_net::{ConnectionId, Network};
 use fernknot_protocol::http::Request;
-use fernknot_schema::{ProcessSettings, RoutingConfig};
+use fernknot_schema::{ProcessSettings, SystemConfig};
 use fernknot_telemetry::component;
 use std::rc::Rc;
 
@@ -33,6 +33,8 @@
     pub(crate) nodes: NodeTable,
     budget: BudgetShare,
     pub(crate) counters: ClientCounters,
+    /// State in which rejected requests are counted.
+    pub(crate) serving_state: ServingState,
     /// Whether a shutdown has begun: clients' connections are closed after their pending responses.
     pub(crate) is_stopping: bool,
 }
@@ -46,15 +48,17 @@
     ) -> Result<DataPlane, GatewayError> {
         let routing = Routing::new(&settings, max_connections(process), process.limits.memory_mb, seed)?;
         let heartbeat_interval = Nanos::from_millis(process.heartbeat_interval_ms);
+        let drain_cutoff = settings.drain_cutoff;
         Ok(DataPlane {
             settings,
             seed,
             clients: ClientConnections::default(),
             routing,
-            attempts: Attempts::new(),
+            attempts: Attempts::new(drain_cutoff),
             nodes: NodeTable::new(heartbeat_interval, ZoneIds::new(process)),
             budget: BudgetShare::new(process.bounds.retry_slack),
             counters: ClientCounters::default(),
+            serving_state: ServingState::default(),
             is_stopping: false,
         })
     }
@@ -99,7 +103,7 @@
 
     fn start_request<N: Network>(&mut self, now: Nanos, id: ConnectionId, request: Request, network: &mut N) {
         self.counters.requests += 1;
-        match self.routing.route(request) {
+        match self.routing.route(now, request) {
             Err(rejection) => self.reject(now, id, rejection, network),
             Ok(routed) => {
                 if let Some(request) = self.attempts.start(now, id, routed) {
@@ -110,7 +114,7 @@
     }
 
     fn reject<N: Network>(&mut self, now: Nanos, id: ConnectionId, rejection: Rejection, network: &mut N) {
-        self.counters.count(rejection);
+        self.counters.count(rejection, self.serving_state);
         if let Rejection::Malformed(error) = rejection {
             log::debug!(target: component::CONNECTIONS, "client request rejected: {} {}", error.status, error.reason);
         }
@@ -212,7 +216,7 @@
         &mut self,
         now: Nanos,
         revision: u64,
-        config: RoutingConfig,
+        config: SystemConfig,
     ) -> Option<Rc<ConfigSnapshot>> {
         let (snapshot, change) = self.routing.apply(now, revision, config)?;
         let (epoch, routes) = (snapshot.config.epoch, snapshot.config.routes.len());
@@ -248,9 +252,9 @@
     }
 
     /// Returns the state that sources and subscribers of updates receive.
-    pub(crate) fn local_state(&self, is_synchronized: bool, is_ready: bool) -> LocalState<'_> {
-        let config = self.routing.config().map(|config| (config.revision, &config.config));
-        LocalState { nodes: self.nodes.directory(), config, is_synchronized, is_ready }
+    pub(crate) fn local_state(&self, is_ready: bool) -> LocalState<'_> {
+        let config = self.routing.config().map(Rc::as_ref);
+        LocalState { nodes: self.nodes.directory(), config, is_ready }
     }
 
     /// Sets the number of gateways that share the retry budget; `None` while this one may use no share.
--- a/crates/fernknot-gateway/src/gateway.rs
+++ b/crates/fernknot-gateway/src/gateway.rs
@@ -2,11 +2,12 @@
 //! network that the host, the program that drives it, passes in.
 
 use crate::clients::LocalReply;
-use crate::counters::{CurrentValues, counters_text};
+use crate::counters::{CurrentValues, ServingState, counters_text};
 use crate::data_plane::DataPlane;
 use crate::discovery::Discovery;
 use crate::error::GatewayError;
 use crate::listeners::{ListenAddress, ListenerIds};
+use crate::requests::StartedRequest;
 use crate::seeded_bug::SeededBug;
 use crate::settings::{GatewaySettings, controller_seeds, inner_addr};
 use crate::shutdown::{Shutdown, ShutdownPhase};
@@ -19,7 +20,7 @@
 use fernknot_protocol::http::Request;
 use fernknot_registry::NodeRecord;
 use fernknot_rpc::InspectionTopic;
-use fernknot_schema::{ProcessSettings, RoutingConfig};
+use fernknot_schema::{PlatformApi, ProcessSettings, SystemConfig};
 use fernknot_telemetry::component;
 use std::net::SocketAddrV4;
 
@@ -41,8 +42,10 @@
     listeners: ListenerIds,
     data_plane: DataPlane,
     update_relay: UpdateRelay,
-    /// Whether a source of updates (a controller, or a gateway that forwards its updates) has sent all node records of
-    /// a subscription since the start.
+    /// Whether the usage of tenants is due to the platform.
+    reports_usage: bool,
+    /// Whether this gateway has had, since its start, a configuration and complete snapshots of the nodes of all its
+    /// services. A service that a later configuration adds does not make it unready.
     is_synchronized: bool,
     discovery: Discovery,
     shutdown: Shutdown,
@@ -66,7 +69,15 @@
         Ok(Gateway {
             listeners,
             data_plane: DataPlane::new(&process, settings.clone(), seed)?,
-            update_relay: UpdateRelay::new(record, &seeds, ownership, seed),
+            update_relay: UpdateRelay::new(
+                record,
+                &seeds,
+                ownership,
+                settings.lease_duration,
+                &process.bounds,
+                seed,
+            ),
+            reports_usage: process.platform_api.as_ref().is_some_and(PlatformApi::wants_usage),
             is_synchronized: false,
             discovery: Discovery::new(descriptor, &seeds, &settings, seed),
             shutdown: Shutdown::new(Nanos::from_millis(process.bounds.grace_s * 1e3)),
@@ -89,16 +100,33 @@
             log::warn!(target: component::PROCESS, "event loop stalled for {:.0} ms; restarting time-outs", gap.as_millis());
             self.update_relay.resume_after_stall(now);
         }
+        self.data_plane.serving_state = self.serving_state(now);
         for event in events {
             self.handle_event(now, event, network);
         }
         self.poll_update_relay(now, network);
         self.data_plane.run_engine(now, network);
+        self.count_usage();
         if now >= self.next_sweep_at {
             self.sweep(now, network);
         }
     }
 
+    /// Sets the time of day by the clock of this machine, in milliseconds since the beginning of 1970. It is used until
+    /// a controller has stated the time of day.
+    pub fn set_machine_time(&mut self, now: Nanos, unix_ms: u64) {
+        self.update_relay.usage.set_machine_time(now, unix_ms);
+    }
+
+    /// Counts the requests of tenants that nodes have begun to execute.
+    fn count_usage(&mut self) {
+        for StartedRequest { config, tenant, at } in self.data_plane.attempts.take_started() {
+            if let Some(access) = config.access().filter(|_| self.reports_usage) {
+                self.update_relay.usage.count(at, access.tenant_name(tenant));
+            }
+        }
+    }
+
     /// Time of the next step that is due without an event.
     pub fn next_wakeup(&self) -> Nanos {
         let engine = self.data_plane.attempts.decisions().next_wakeup().unwrap_or(Nanos(u64::MAX));
@@ -145,7 +173,7 @@
     /// Advances a shutdown. Returns whether it is complete: all requests are answered, or the grace period is nearly
     /// over. The host still has to write pending output then.
     pub fn poll_shutdown<N: Network>(&mut self, now: Nanos, network: &mut N) -> bool {
-        match self.shutdown.phase(now) {
+        let is_complete = match self.shutdown.phase(now) {
             ShutdownPhase::Running | ShutdownPhase::Unready => false,
             ShutdownPhase::Expired => true,
             ShutdownPhase::Draining => {
@@ -153,7 +181,12 @@
                 self.data_plane.clients.close_idle(network);
                 self.data_plane.attempts.requests().is_empty() && self.data_plane.clients.are_all_readiness()
             }
+        };
+        if is_complete {
+            self.count_usage();
+            self.update_relay.send_remaining_usage(network);
         }
+        is_complete
     }
 
     fn is_ready(&self) -> bool {
@@ -161,12 +194,21 @@
         !self.shutdown.is_requested() && has_config && self.is_synchronized
     }
 
+    fn serving_state(&self, now: Nanos) -> ServingState {
+        let config_age = self.update_relay.config_age(now);
+        let is_config_confirmed = config_age.is_some_and(|age| age <= self.settings.apply_timeout);
+        ServingState { is_ready: self.is_ready(), is_config_confirmed }
+    }
+
     // ---- Events ----------------------------------------------------------------------------
 
     fn handle_event<N: Network>(&mut self, now: Nanos, event: Event, network: &mut N) {
         match event {
             Event::Accepted { connection, listener, .. } => self.accept(now, connection, listener),
-            Event::Connected { .. } | Event::Woken => {}
+            Event::Connected { connection } => {
+                self.data_plane.attempts.connection_opened(now, connection);
+            }
+            Event::Woken => {}
             Event::Received { connection } => self.read(now, connection, false, network),
             Event::ReadClosed { connection } => self.handle_read_closed(now, connection, network),
             Event::Closed { connection, was_open, error } => {
@@ -250,13 +292,19 @@
     fn counters_text(&self, now: Nanos) -> String {
         let DataPlane { attempts, nodes, routing, counters, .. } = &self.data_plane;
         let config_age = self.update_relay.config_age(now);
+        let (topics_without_lease, oldest_topic_lease) = self.update_relay.topic_lease_ages(now);
         let current_values = CurrentValues {
             requests_in_flight: attempts.requests().len(),
             node_connections: attempts.connections().len(),
             nodes: nodes.engine_node_count(),
             services: routing.service_count(),
             config_epoch: routing.config().map_or(0, |snapshot| snapshot.config.epoch),
+            config_revision: routing.config().map_or(0, |snapshot| snapshot.revision),
+            announced_revision: self.update_relay.confirmation().announced_revision,
+            update_streams_started: self.update_relay.streams_started(),
             is_config_stale: config_age.is_none_or(|age| age > self.settings.drain_cutoff),
+            topics_without_lease,
+            oldest_topic_lease,
         };
         counters_text(counters, attempts.counters(), &current_values) + &attempts.decisions().counters_text()
     }
@@ -264,21 +312,24 @@
     // ---- Updates ---------------------------------------------------------------------------
 
     fn poll_update_relay<N: Network>(&mut self, now: Nanos, network: &mut N) {
-        let state = self.data_plane.local_state(self.is_synchronized, self.is_ready());
+        let state = self.data_plane.local_state(self.is_ready());
         self.update_relay.poll(now, network, &state);
     }
 
     fn read_updates<N: Network>(&mut self, now: Nanos, id: ConnectionId, network: &mut N) {
-        let state = self.data_plane.local_state(self.is_synchronized, self.is_ready());
+        let state = self.data_plane.local_state(self.is_ready());
         let mut updates = Vec::new();
         let token = self.update_relay.fencing_token();
         self.update_relay.read(now, id, network, &state, &mut updates);
+        self.data_plane.routing.set_confirmation(self.update_relay.confirmation());
         if self.update_relay.fencing_token() > token {
             self.update_relay.forward_assignment(network);
         }
         for update in updates {
             self.apply_update(now, update, network);
         }
+        let has_config = self.data_plane.routing.config().is_some();
+        self.is_synchronized |= has_config && self.update_relay.has_all_snapshots();
     }
 
     fn apply_update<N: Network>(&mut self, now: Nanos, update: Update, network: &mut N) {
@@ -291,9 +342,6 @@
             }
             Update::SnapshotComplete { watermark, subscription } => {
                 self.data_plane.nodes.finish_snapshot(watermark, &subscription);
-                if !std::mem::replace(&mut self.is_synchronized, true) {
-                    self.update_relay.forward_snapshot_complete(network);
-                }
             }
             Update::SourceHealthy => {
                 self.data_plane.nodes.record_source_heartbeat(now);
@@ -306,15 +354,9 @@
         }
     }
 
-    fn apply_config<N: Network>(
-        &mut self,
-        now: Nanos,
-        revision: u64,
-        config: RoutingConfig,
-        network: &mut N,
-    ) {
+    fn apply_config<N: Network>(&mut self, now: Nanos, revision: u64, config: SystemConfig, network: &mut N) {
         let Some(snapshot) = self.data_plane.apply_config(now, revision, config) else { return };
-        self.update_relay.forward_config(network, revision, &snapshot.config);
+        self.update_relay.forward_config(network, &snapshot);
         self.update_relay.set_services(&snapshot.config);
         self.data_plane.apply_all_node_changes(now, network);
     }
--- a/crates/fernknot-gateway/src/routing.rs
+++ b/crates/fernknot-gateway/src/routing.rs
@@ -1,5 +1,6 @@
 //! The configuration in force, and the routing of requests to services by it.
 
+use crate::access::TenantIndex;
 use crate::clients::{ClientTimeouts, Rejection};
 use crate::config_snapshot::ConfigSnapshot;
 use crate::engine_ids::{EngineIds, SnapshotChange};
@@ -7,15 +8,18 @@
 use crate::headers;
 use crate::requests::PendingRequest;
 use crate::settings::GatewaySettings;
+use crate::updates::Confirmation;
 use fernknot::interface::*;
 use fernknot::state::Mwc;
 use fernknot_protocol::http::Request;
 use fernknot_protocol::multiget::RequestedPart;
 use fernknot_router_config::{Limits, SocketSettings};
-use fernknot_schema::{ClientLimits, RouteTarget, RoutingConfig};
+use fernknot_schema::{ClientLimits, RouteTarget, SystemConfig};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
+/// Size of the shortest header field: a name of one character, a colon and a line end.
+const MIN_FIELD_BYTES: usize = 4;
 /// Interval of the sweeps for unused identifiers, in multiples of `contact_ms`.
 const ID_SWEEP_INTERVAL_CONTACTS: f64 = 2.0;
 /// Maximum time for a complete request to arrive, in multiples of `header_ms`.
@@ -35,6 +39,8 @@
     pub(crate) config: Rc<ConfigSnapshot>,
     /// Index of the request's route in the configuration.
     pub(crate) route: usize,
+    /// Tenant that the request belongs to.
+    pub(crate) tenant: Option<TenantIndex>,
     pub(crate) attempt_id: String,
     /// Time that the client waits, bounded by the deadline of the route.
     pub(crate) timeout: Nanos,
@@ -45,6 +51,7 @@
 /// depend on it.
 pub(crate) struct Routing {
     config: Option<Rc<ConfigSnapshot>>,
+    confirmation: Confirmation,
     ids: EngineIds,
     http_limits: Limits,
     rng: Mwc,
@@ -61,9 +68,11 @@
         memory_mb: f64,
         rng_seed: u64,
     ) -> Result<Routing, GatewayError> {
-        let http_limits = Limits::new(max_connections, memory_mb, &unused_socket_settings(settings))?;
+        let mut http_limits = Limits::new(max_connections, memory_mb, &unused_socket_settings(settings))?;
+        set_client_limits(&mut http_limits, &ClientLimits::default());
         Ok(Routing {
             config: None,
+            confirmation: Confirmation::default(),
             ids: EngineIds::default(),
             http_limits,
             rng: Mwc::new(rng_seed),
@@ -108,28 +117,41 @@
         &mut self,
         now: Nanos,
         revision: u64,
-        config: RoutingConfig,
+        config: SystemConfig,
     ) -> Option<(Rc<ConfigSnapshot>, UseCaseChange)> {
         if self.config.as_ref().is_some_and(|current| current.revision >= revision) {
             return None;
         }
+        let SystemConfig { routing: config, access } = config;
         let longest_deadline_ms = config.routes.iter().map(|route| route.deadline_ms).max().unwrap_or(0);
         let retention_ms =
             longest_deadline_ms as f64 * USE_CASE_RETENTION_DEADLINES + EXTRA_USE_CASE_RETENTION_MS;
-        self.http_limits.max_head_bytes = config.limits.header_bytes as usize;
-        self.http_limits.max_body_bytes = config.limits.body_bytes as usize;
+        set_client_limits(&mut self.http_limits, &config.limits);
         let change = self.ids.snapshot(now, revision, config, Nanos::from_millis(retention_ms));
         let SnapshotChange { snapshot, use_cases, released } = change;
-        let snapshot = Rc::new(snapshot);
+        let snapshot = Rc::new(snapshot.with_access(access));
         self.config = Some(snapshot.clone());
         Some((snapshot, UseCaseChange { use_cases, released }))
     }
 
-    /// Finds the route and the services of a request.
-    pub(crate) fn route(&mut self, request: Request) -> Result<RoutedRequest, Rejection> {
+    /// Sets what the sources have confirmed about the configuration.
+    pub(crate) fn set_confirmation(&mut self, confirmation: Confirmation) {
+        self.confirmation = confirmation;
+    }
+
+    /// Finds the route, the tenant and the services of a request.
+    pub(crate) fn route(&mut self, now: Nanos, mut request: Request) -> Result<RoutedRequest, Rejection> {
         let config = self.config.clone().ok_or(Rejection::NoConfig)?;
         let host = request.header("host").unwrap_or_default();
-        let index = config.find(host, request.path()).ok_or(Rejection::NoRoute)?;
+        let index = config
+            .find(host, request.path())
+            .ok_or_else(|| self.confirmed(now, config.revision, Rejection::NoRoute))?;
+        let tenant = match config.access() {
+            Some(access) => access
+                .authenticate(index, &mut request)
+                .map_err(|rejection| self.confirmed(now, config.revision, rejection))?,
+            None => None,
+        };
         let attempt_id = request.header(headers::ATTEMPT_ID);
         let attempt_id = attempt_id.filter(|id| headers::is_valid_attempt_id(id));
         let attempt_id = attempt_id.ok_or(Rejection::InvalidAttemptId)?.to_string();
@@ -142,12 +164,19 @@
             request,
             config,
             route: index,
+            tenant,
             attempt_id,
             timeout: Nanos(timeout_ms.saturating_mul(1_000_000)),
             parts,
         })
     }
 
+    /// Returns the rejection of a request that a configuration of this revision does not allow. Unless the configuration
+    /// is confirmed, a newer one may allow the request, and it is only rejected for now.
+    fn confirmed(&self, now: Nanos, revision: u64, rejection: Rejection) -> Rejection {
+        if self.confirmation.covers(now, revision) { rejection } else { Rejection::UnconfirmedConfig }
+    }
+
     /// Returns one part for each service that has to answer, all of the same weight.
     fn parts(&mut self, target: &RouteTarget) -> Vec<RequestedPart> {
         let services: Vec<&str> = match target {
@@ -206,6 +235,14 @@
     pub(crate) released: Vec<UseCaseId>,
 }
 
+/// Sets the limits on the size of requests to those of a configuration. Only their bytes limit the number of header
+/// fields.
+fn set_client_limits(http_limits: &mut Limits, client_limits: &ClientLimits) {
+    http_limits.max_head_bytes = client_limits.header_bytes as usize;
+    http_limits.max_headers = http_limits.max_head_bytes / MIN_FIELD_BYTES;
+    http_limits.max_body_bytes = client_limits.body_bytes as usize;
+}
+
 /// Returns socket settings that satisfy the constructor of [`Limits`]. A gateway uses only the size limits of HTTP
 /// messages, which do not depend on them.
 fn unused_socket_settings(settings: &GatewaySettings) -> SocketSettings {
--- a/crates/fernknot-gateway/src/updates/relay.rs
+++ b/crates/fernknot-gateway/src/updates/relay.rs
@@ -1,26 +1,33 @@
 //! Routing of updates from the sources that `fernknot-distribution` selects to this gateway and to its subscribers.
 
+use super::config_source::ConfigSourceLog;
+use super::confirmation::Confirmation;
 use super::controllers::KnownControllers;
+use super::message_readers::MessageReaders;
 use super::ownership::Ownership;
+use super::snapshots::Snapshots;
 use super::sources::{Source, SourceStream, SourceStreams};
-use super::state::{LocalState, Update};
+use super::state::{LocalState, Update, config_message};
 use super::subscribers::{Subscribers, select, send};
+use super::topics::{subscription_to, topics_of};
+use super::usage::UsageReporter;
 use fernknot::interface::Nanos;
-use fernknot_distribution::{Action, Relays, RelaysLimits, SourceHeartbeat, Topic};
+use fernknot_distribution::{Action, Relays, RelaysLimits, Topic};
 use fernknot_net::{ConnectionId, Network};
-use fernknot_ownership::{Assignment, FencingToken, GatewayRecord, OwnedKeysSettings};
-use fernknot_registry::NodeRecord;
-use fernknot_rpc::{
-    ControllerEndpoint, ControllerToGateway, GatewayToController, InspectionTopic, Subscription,
-    read_message, write_message,
-};
-use fernknot_schema::RoutingConfig;
+use fernknot_ownership::{FencingToken, GatewayRecord, OwnedKeysSettings};
+use fernknot_rpc::{ControllerToGateway, GatewayToController, InspectionTopic, Subscription, write_message};
+use fernknot_schema::{InvariantBounds, RoutingConfig};
 use fernknot_telemetry::component;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
+mod forwarding;
+mod source_messages;
+
 /// Maximum size of a message, in bytes. A configuration of the largest size that operators may send fits.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
+/// Maximum size of a message of a subscriber, in bytes. The longest is a subscription by the names of all services.
+const MAX_SUBSCRIBER_MESSAGE_BYTES: usize = 1 << 20;
 /// Interval of this gateway's own heartbeats, in intervals of its sources' heartbeats.
 const HEARTBEAT_INTERVALS: f64 = 2.0;
 /// Time without heartbeats after which a subscriber is not reported as live, in intervals of this gateway's heartbeats.
@@ -35,14 +42,22 @@
     relays: Relays,
     sources: SourceStreams,
     subscribers: Subscribers,
+    readers: MessageReaders,
     ownership: Ownership,
+    /// Usage that is reported to the source of the configuration.
+    pub(crate) usage: UsageReporter,
     heartbeat_interval: Nanos,
     next_heartbeat_at: Nanos,
     controllers: KnownControllers,
     /// Services in the configuration in force.
     services: BTreeSet<String>,
+    /// Services of whose nodes this gateway has a complete snapshot.
+    snapshots: Snapshots,
+    /// Whether something has changed that subscribers may wait for to receive the end of their snapshot.
+    checks_snapshots: bool,
     /// Identifier of the controller whose heartbeat was the last to arrive with a lease; 0 before the first one.
     last_heartbeat_from: u64,
+    config_source_log: ConfigSourceLog,
 }
 
 /// A gateway that subscribes to this one.
@@ -55,26 +70,41 @@
 
 impl UpdateRelay {
     /// Creates a relay without streams. `settings.handover_timeout` is the time within which an update has to be in
-    /// force everywhere (`apply_ms`); all intervals and time-outs of the relay are shares of it.
+    /// force everywhere (`apply_ms`); all intervals and time-outs of the relay are shares of it. `lease_duration` is that
+    /// of the controllers.
     pub(crate) fn new(
         this_gateway: GatewayRecord,
         seeds: &[SocketAddrV4],
         settings: OwnedKeysSettings,
+        lease_duration: Nanos,
+        bounds: &InvariantBounds,
         rng_seed: u64,
     ) -> UpdateRelay {
         let (incarnation, zone, apply_timeout) =
             (this_gateway.incarnation, &this_gateway.zone, settings.handover_timeout);
         let mut relay = UpdateRelay {
-            relays: Relays::new(incarnation, zone, apply_timeout, RelaysLimits::default(), rng_seed),
+            relays: Relays::new(
+                incarnation,
+                zone,
+                apply_timeout,
+                lease_duration,
+                RelaysLimits::default(),
+                rng_seed,
+            ),
             ownership: Ownership::new(&this_gateway, settings),
+            usage: UsageReporter::new(incarnation, bounds),
             this_gateway,
             sources: SourceStreams::default(),
             subscribers: Subscribers::default(),
+            readers: MessageReaders::default(),
             heartbeat_interval: Relays::heartbeat_interval(apply_timeout).times(HEARTBEAT_INTERVALS),
             next_heartbeat_at: Nanos(0),
             controllers: KnownControllers::default(),
             services: BTreeSet::new(),
+            snapshots: Snapshots::default(),
+            checks_snapshots: false,
             last_heartbeat_from: 0,
+            config_source_log: ConfigSourceLog::default(),
         };
         relay.add_controllers(seeds);
         relay
@@ -90,6 +120,20 @@
     pub(crate) fn set_services(&mut self, config: &RoutingConfig) {
         self.relays.set_services(config.services.iter().map(|service| service.name.as_str()));
         self.services = config.services.iter().map(|service| service.name.clone()).collect();
+        self.checks_snapshots = true;
+        // The stream of a source that sends all services also sends those that are new.
+        if self
+            .sources
+            .iter()
+            .any(|(_, stream)| stream.is_complete && stream.subscription == Subscription::All)
+        {
+            self.snapshots.record_complete(&Subscription::All, &self.services);
+        }
+    }
+
+    /// Whether sources have sent all nodes of all services in the configuration in force.
+    pub(crate) fn has_all_snapshots(&self) -> bool {
+        self.snapshots.covers(&Subscription::All, &self.services)
     }
 
     /// Time since the last heartbeat with a lease (of a controller in contact with a majority, perhaps forwarded) from
@@ -98,6 +142,29 @@
         self.relays.time_since_lease(now, &Topic::Configuration)
     }
 
+    /// What the sources have confirmed about the configuration.
+    pub(crate) fn confirmation(&self) -> Confirmation {
+        Confirmation {
+            announced_revision: self.relays.newest_seen().revision,
+            until: self.relays.configuration_confirmed_until(),
+        }
+    }
+
+    /// Number of update streams that were started.
+    pub(crate) fn streams_started(&self) -> u64 {
+        self.sources.started()
+    }
+
+    /// Returns the number of topics without a current source that has sent a heartbeat with a lease, and the greatest
+    /// time since the last such heartbeat for any other topic.
+    pub(crate) fn topic_lease_ages(&self, now: Nanos) -> (usize, Nanos) {
+        let topics = self.services.iter().map(|name| Topic::service(name)).chain([Topic::Configuration]);
+        let ages: Vec<Option<Nanos>> =
+            topics.map(|topic| self.relays.time_since_lease(now, &topic)).collect();
+        let without_lease = ages.iter().filter(|age| age.is_none()).count();
+        (without_lease, ages.into_iter().flatten().max().unwrap_or(Nanos(0)))
+    }
+
     /// Restarts the time-outs of sources after a stall of the event loop: messages that were not received during the
     /// stall prove no fault of the sources.
     pub(crate) fn resume_after_stall(&mut self, now: Nanos) {
@@ -133,6 +200,7 @@
 
     /// Handles the end of a connection: removes its subscriber, or reports its source as lost.
     pub(crate) fn connection_closed(&mut self, now: Nanos, id: ConnectionId) {
+        self.readers.remove(id);
         if let Some(addr) = self.subscribers.remove(id) {
             self.relays.subscribe(addr, []);
         }
@@ -152,13 +220,24 @@
                 Action::Subscribe { addr, kind, topics } => {
                     self.subscribe(now, network, state, Source { kind, addr }, &topics);
                 }
-                Action::Unsubscribe { addr, kind } => self.sources.close(Source { kind, addr }, network),
+                Action::Unsubscribe { addr, kind } => {
+                    if let Some(id) = self.sources.close(Source { kind, addr }, network) {
+                        self.readers.remove(id);
+                    }
+                }
                 Action::ForwardHeartbeat { to, heartbeat } => {
+                    if let Some(time_of_day) = self.usage.time_of_day_message(now) {
+                        self.subscribers.multicast(network, &to, &time_of_day);
+                    }
                     let message = self.heartbeat_message(heartbeat);
                     self.subscribers.multicast(network, &to, &message);
                 }
             }
         }
+        if std::mem::take(&mut self.checks_snapshots) {
+            self.snapshots.retain(&self.services);
+            self.complete_snapshots(now, network);
+        }
         if now >= self.next_heartbeat_at {
             self.next_heartbeat_at = now + self.heartbeat_interval;
             self.send_heartbeats(now, network, state.is_ready);
@@ -174,9 +253,13 @@
         topics: &[Topic],
     ) {
         let carries_config = topics.contains(&Topic::Configuration);
-        let subscription = self.subscription(topics);
+        let subscription = subscription_to(topics, &self.services);
         let known = self.sources.connection_of(source);
-        if let Some(stream) = known.and_then(|id| self.sources.get_mut(id))
+        let stream = known.and_then(|id| self.sources.get_mut(id));
+        if carries_config && !stream.as_ref().is_some_and(|stream| stream.carries_config) {
+            self.usage.report_all_again();
+        }
+        if let Some(stream) = stream
             && stream.subscription == subscription
         {
             stream.carries_config = carries_config;
@@ -193,7 +276,8 @@
             write_message(output, &self.subscribe_message(state, subscription.clone()));
         }
         let watermark = state.nodes.begin_snapshot();
-        self.sources.insert(id, SourceStream { source, subscription, carries_config, watermark });
+        let stream = SourceStream { source, subscription, carries_config, watermark, is_complete: false };
+        self.sources.insert(id, stream);
     }
 
     fn subscribe_message(&self, state: &LocalState<'_>, subscription: Subscription) -> GatewayToController {
@@ -201,26 +285,14 @@
             gateway: self.this_gateway.clone(),
             ready: state.is_ready,
             subscription,
-            revision: state.config.map_or(0, |(revision, _)| revision),
-        }
-    }
-
-    fn subscription(&self, topics: &[Topic]) -> Subscription {
-        let service = |topic: &Topic| match topic {
-            Topic::Configuration => None,
-            Topic::Service(name) => Some(name.to_string()),
-        };
-        let names: Vec<String> = topics.iter().filter_map(service).collect();
-        match names.len() >= self.services.len() {
-            true => Subscription::All,
-            false => Subscription::Services(names),
+            revision: state.config.map_or(0, |config| config.revision),
         }
     }
 
     /// Sends each source a heartbeat, and reports the live subscribers to the source of the configuration only. Relays
     /// of different topics may subscribe to each other in cycles: if reports were sent to all sources, those of
     /// gateways that are gone would circulate for ever and accumulate. The streams of the configuration form a tree.
-    fn send_heartbeats<N: Network>(&self, now: Nanos, network: &mut N, is_ready: bool) {
+    fn send_heartbeats<N: Network>(&mut self, now: Nanos, network: &mut N, is_ready: bool) {
         let since = now - self.heartbeat_interval.times(HEARTBEAT_TIMEOUT_INTERVALS);
         for (id, stream) in self.sources.iter() {
             let Some(output) = network.output(id) else { continue };
@@ -232,6 +304,7 @@
             if !live.is_empty() {
                 write_message(output, &GatewayToController::RelayedHeartbeats(live));
             }
+            self.usage.due_reports(now).iter().for_each(|reports| write_message(output, reports));
         }
     }
 
@@ -245,6 +318,14 @@
         }
     }
 
+    /// Reports the usage that has not been reported yet, before the process exits.
+    pub(crate) fn send_remaining_usage<N: Network>(&mut self, network: &mut N) {
+        for (id, _) in self.sources.iter().filter(|(_, stream)| stream.carries_config) {
+            let Some(output) = network.output(id) else { continue };
+            self.usage.changed_reports().iter().for_each(|reports| write_message(output, reports));
+        }
+    }
+
     // ---- Messages --------------------------------------------------------------------------
 
     /// Reads the messages that were received on a connection, and adds those for the gateway itself to `updates`.
@@ -259,12 +340,13 @@
         loop {
             let Some(input) = network.input(id) else { return };
             let read = if self.sources.contains(id) {
-                let message = read_message::<ControllerToGateway>(input, MAX_MESSAGE_BYTES);
+                let message = self.readers.read::<ControllerToGateway>(id, input, MAX_MESSAGE_BYTES);
                 message.map(|message| {
                     message.map(|message| self.handle_source_message(now, id, message, updates))
                 })
             } else {
-                let message = read_message::<GatewayToController>(input, MAX_MESSAGE_BYTES);
+                let message =
+                    self.readers.read::<GatewayToController>(id, input, MAX_SUBSCRIBER_MESSAGE_BYTES);
                 message.map(|message| {
                     message.map(|message| {
                         self.handle_subscriber_message(now, id, message, network, state, updates);
@@ -283,83 +365,6 @@
         }
     }
 
-    fn handle_source_message(
-        &mut self,
-        now: Nanos,
-        id: ConnectionId,
-        message: ControllerToGateway,
-        updates: &mut Vec<Update>,
-    ) {
-        let Some(stream) = self.sources.get(id) else { return };
-        let (source, watermark) = (stream.source, stream.watermark);
-        self.relays.record_message(now, source.addr, source.kind);
-        match message {
-            ControllerToGateway::Heartbeat {
-                sender,
-                revision,
-                holds_lease,
-                hops,
-                fencing_token,
-                controllers,
-            } => {
-                let heartbeat = SourceHeartbeat {
-                    revision,
-                    registry_version: 0,
-                    fencing_token: FencingToken(fencing_token),
-                    has_lease: holds_lease,
-                    hops,
-                };
-                self.handle_heartbeat(now, source, heartbeat, sender, controllers);
-                if holds_lease {
-                    updates.push(Update::SourceHealthy);
-                }
-            }
-            ControllerToGateway::Config { revision, config } => {
-                updates.push(Update::Config { revision, config });
-            }
-            ControllerToGateway::NodeUpdates(records) => updates.push(Update::Nodes(records)),
-            ControllerToGateway::SnapshotComplete => {
-                let subscription = stream.subscription.clone();
-                updates.push(Update::SnapshotComplete { watermark, subscription });
-            }
-            ControllerToGateway::Assignment(assignment) => self.handle_assignment(now, assignment),
-            ControllerToGateway::ConfigWithAccessControl { .. }
-            | ControllerToGateway::TimeOfDay { .. }
-            | ControllerToGateway::InspectionReport(_)
-            | ControllerToGateway::ForceViewResult(_) => {}
-        }
-    }
-
-    fn handle_heartbeat(
-        &mut self,
-        now: Nanos,
-        source: Source,
-        heartbeat: SourceHeartbeat,
-        sender: u64,
-        controllers: Vec<ControllerEndpoint>,
-    ) {
-        self.relays.record_heartbeat(now, source.addr, source.kind, heartbeat);
-        if !heartbeat.has_lease {
-            return;
-        }
-        self.last_heartbeat_from = sender;
-        self.ownership.confirm(now, heartbeat.fencing_token);
-        if !controllers.is_empty() {
-            self.controllers.replace(controllers);
-            self.relays.set_controllers(&self.controllers.endpoints());
-        }
-    }
-
-    fn handle_assignment(&mut self, now: Nanos, assignment: Assignment) {
-        if assignment.fencing_token <= self.fencing_token() {
-            return;
-        }
-        let (count, token) = (assignment.gateways.len(), assignment.fencing_token.0);
-        log::info!(target: component::OWNERSHIP, "assignment with fencing token {token} applied: {count} live gateways");
-        self.ownership.apply(now, assignment);
-        self.relays.apply_assignment(now, self.ownership.assignment());
-    }
-
     fn handle_subscriber_message<N: Network>(
         &mut self,
         now: Nanos,
@@ -382,13 +387,16 @@
                 if let Some(addr) = self.subscribers.unsubscribe(id) {
                     self.relays.subscribe(addr, []);
                 }
+                // The gateway reports its usage until it exits.
+                self.subscribers.accept(id);
             }
             GatewayToController::Inspect(topic) => updates.push(Update::Inspect { connection: id, topic }),
             GatewayToController::ForceView { .. } => {
                 let rejection = Err(NO_VIEW_REASON.into());
                 send(network, id, &ControllerToGateway::ForceViewResult(rejection));
             }
-            GatewayToController::Peer(_) | GatewayToController::UsageReports(_) => {}
+            GatewayToController::UsageReports(reports) => self.usage.record(&reports),
+            GatewayToController::Peer(_) => {}
         }
     }
 
@@ -403,7 +411,7 @@
     ) {
         let NewSubscriber { gateway, subscription, revision } = subscriber;
         self.subscribers.identify(id);
-        if !self.relays.subscribe(gateway.addr, self.topics(&subscription)) {
+        if !self.relays.subscribe(gateway.addr, topics_of(&subscription, &self.services)) {
             network.close(id);
             return self.connection_closed(now, id);
         }
@@ -413,60 +421,11 @@
             let assignment = self.ownership.assignment().clone();
             send(network, id, &ControllerToGateway::Assignment(assignment));
         }
-        if let Some((current, config)) = state.config.filter(|(current, _)| *current > revision) {
-            let config = config.clone();
-            send(network, id, &ControllerToGateway::Config { revision: current, config });
+        if let Some(config) = state.config.filter(|config| config.revision > revision) {
+            send(network, id, &config_message(config));
         }
         send(network, id, &ControllerToGateway::NodeUpdates(records));
-        if state.is_synchronized {
-            send(network, id, &ControllerToGateway::SnapshotComplete);
-        }
-    }
-
-    fn topics(&self, subscription: &Subscription) -> Vec<Topic> {
-        let mut topics: Vec<Topic> = match subscription {
-            Subscription::All => self.services.iter().map(|name| Topic::service(name)).collect(),
-            Subscription::Services(names) => names.iter().map(|name| Topic::service(name)).collect(),
-        };
-        topics.push(Topic::Configuration);
-        topics
-    }
-
-    // ---- Forwarding ------------------------------------------------------------------------
-
-    fn heartbeat_message(&self, heartbeat: SourceHeartbeat) -> ControllerToGateway {
-        ControllerToGateway::Heartbeat {
-            sender: self.last_heartbeat_from,
-            revision: heartbeat.revision,
-            holds_lease: heartbeat.has_lease,
-            hops: heartbeat.hops,
-            fencing_token: heartbeat.fencing_token.0,
-            controllers: self.controllers.reported(),
-        }
-    }
-
-    /// Forwards a configuration that has just been applied.
-    pub(crate) fn forward_config<N: Network>(&self, network: &mut N, revision: u64, config: &RoutingConfig) {
-        if !self.subscribers.is_empty() {
-            let config = config.clone();
-            self.subscribers.broadcast(network, &ControllerToGateway::Config { revision, config });
-        }
-    }
-
-    /// Forwards the newest assignment.
-    pub(crate) fn forward_assignment<N: Network>(&self, network: &mut N) {
-        let assignment = self.ownership.assignment().clone();
-        self.subscribers.broadcast(network, &ControllerToGateway::Assignment(assignment));
-    }
-
-    /// Notifies the subscribers that this gateway has a complete snapshot.
-    pub(crate) fn forward_snapshot_complete<N: Network>(&self, network: &mut N) {
-        self.subscribers.broadcast(network, &ControllerToGateway::SnapshotComplete);
-    }
-
-    /// Forwards node records that have changed.
-    pub(crate) fn forward_nodes<N: Network>(&self, network: &mut N, records: &[NodeRecord]) {
-        self.subscribers.forward_nodes(network, records, &self.services);
+        self.complete_snapshots(now, network);
     }
 
     // ---- Inspection ------------------------------------------------------------------------
--- a/crates/fernknot-gateway/src/updates/sources.rs
+++ b/crates/fernknot-gateway/src/updates/sources.rs
@@ -22,6 +22,8 @@
     pub(super) carries_config: bool,
     /// Watermark of the node directory when this gateway subscribed; needed to complete the snapshot that follows.
     pub(super) watermark: u64,
+    /// Whether the source has sent all node records of the subscription.
+    pub(super) is_complete: bool,
 }
 
 /// All update streams, by connection and by source.
@@ -29,20 +31,23 @@
 pub(super) struct SourceStreams {
     streams: BTreeMap<ConnectionId, SourceStream>,
     by_source: BTreeMap<Source, ConnectionId>,
+    started: u64,
 }
 
 impl SourceStreams {
     pub(super) fn insert(&mut self, id: ConnectionId, stream: SourceStream) {
         self.by_source.insert(stream.source, id);
-        self.streams.insert(id, stream);
+        let replaced = self.streams.insert(id, stream);
+        self.started += u64::from(replaced.is_none());
     }
 
-    pub(super) fn contains(&self, id: ConnectionId) -> bool {
-        self.streams.contains_key(&id)
+    /// Number of streams that were started.
+    pub(super) fn started(&self) -> u64 {
+        self.started
     }
 
-    pub(super) fn get(&self, id: ConnectionId) -> Option<&SourceStream> {
-        self.streams.get(&id)
+    pub(super) fn contains(&self, id: ConnectionId) -> bool {
+        self.streams.contains_key(&id)
     }
 
     pub(super) fn get_mut(&mut self, id: ConnectionId) -> Option<&mut SourceStream> {
@@ -57,12 +62,12 @@
         self.streams.iter().map(|(id, stream)| (*id, stream))
     }
 
-    /// Closes the stream from a source.
-    pub(super) fn close<N: Network>(&mut self, source: Source, network: &mut N) {
-        if let Some(id) = self.by_source.remove(&source) {
-            self.streams.remove(&id);
-            network.close(id);
-        }
+    /// Closes the stream from a source. Returns its connection.
+    pub(super) fn close<N: Network>(&mut self, source: Source, network: &mut N) -> Option<ConnectionId> {
+        let id = self.by_source.remove(&source)?;
+        self.streams.remove(&id);
+        network.close(id);
+        Some(id)
     }
 
     /// Removes a stream whose connection is closed.
--- a/crates/fernknot-simulator/src/lib.rs
+++ b/crates/fernknot-simulator/src/lib.rs
@@ -27,7 +27,7 @@
 //!
 //! | Modules | Contents |
 //! |---|---|
-//! | [`rng`], [`time`], `topology`, [`settings`], [`wire`], [`ports`], `http_request` | utilities without run state |
+//! | [`rng`], [`time`], `topology`, [`settings`], [`wire`], [`ports`], `http_request`, `route_slots` | utilities without run state |
 //! | [`linearizability`], `checks` (except `history`) | observations and the rules that are checked against them |
 //! | `state` of each component, [`faults::schedule`], `event` | the data of a run |
 //! | `simulation` | the clock, and one struct that contains the state of all components |
@@ -53,10 +53,12 @@
 pub mod linearizability;
 pub mod ports;
 pub mod rng;
+pub mod route_slots;
 pub mod run;
 pub mod settings;
 pub mod time;
 pub mod wire;
 
 pub use checks::requests::RequestEvent;
+pub use checks::route_versions::{RouteObservation, SentVersion, VersionBounds, check_route_versions};
 pub use checks::rule::{Rule, Violation};
