Reject a request above a limit for good only while the limit is confirmed

Clients got 413 or 431, a final no, from a gateway without a configuration for a body above the default limit, and from one whose configuration may be outdated. Seen in tests only.

Cause: the limits of the configuration in force were applied without asking whether it is confirmed as the newest, as 404 and 401 are since. Such a request is answered with 503 and Retry-After now, and its connection is closed, as the rest of the request is not read.

Both tests of 413 by an outdated limit failed before and pass; all 110 tests of client_guarantees pass.

--- a/crates/fernknot-gateway/src/clients/rejection.rs
+++ b/crates/fernknot-gateway/src/clients/rejection.rs
@@ -24,6 +24,8 @@
     NoConfig,
     /// The configuration in force does not allow the request, but may not be the newest one.
     UnconfirmedConfig,
+    /// The request is larger than the limits in force allow, but the newest configuration may allow it.
+    UnconfirmedLimit,
     /// No route matches the request.
     NoRoute,
     /// The route needs a key, and the request has none, or more than one, or other credentials.
@@ -44,9 +46,10 @@
 impl Rejection {
     pub(crate) fn reply(&self) -> LocalReply<'static> {
         let retry_after = match self {
-            Rejection::NoConfig | Rejection::UnconfirmedConfig | Rejection::TooManyPartialBodies => {
-                Some(DEFAULT_RETRY_AFTER)
-            }
+            Rejection::NoConfig
+            | Rejection::UnconfirmedConfig
+            | Rejection::UnconfirmedLimit
+            | Rejection::TooManyPartialBodies => Some(DEFAULT_RETRY_AFTER),
             _ => None,
         };
         LocalReply { status: self.status(), retry_after, body: self.body() }
@@ -54,12 +57,21 @@
 
     /// Whether the connection is closed after the reply, because the start of the next request is unknown.
     pub(crate) fn closes_connection(&self) -> bool {
-        matches!(self, Rejection::Malformed(_) | Rejection::TooManyPartialBodies | Rejection::ReceiveTimeout)
+        matches!(
+            self,
+            Rejection::Malformed(_)
+                | Rejection::UnconfirmedLimit
+                | Rejection::TooManyPartialBodies
+                | Rejection::ReceiveTimeout
+        )
     }
 
     pub(crate) fn status(&self) -> u16 {
         match self {
-            Rejection::NoConfig | Rejection::UnconfirmedConfig | Rejection::TooManyPartialBodies => 503,
+            Rejection::NoConfig
+            | Rejection::UnconfirmedConfig
+            | Rejection::UnconfirmedLimit
+            | Rejection::TooManyPartialBodies => 503,
             Rejection::NoRoute => 404,
             Rejection::MissingApiKey | Rejection::UnknownApiKey => 401,
             Rejection::InvalidAttemptId => 400,
@@ -71,7 +83,9 @@
     fn body(&self) -> &'static [u8] {
         match self {
             Rejection::NoConfig => b"no configuration yet\n",
-            Rejection::UnconfirmedConfig => b"the configuration may be outdated\n",
+            Rejection::UnconfirmedConfig | Rejection::UnconfirmedLimit => {
+                b"the configuration may be outdated\n"
+            }
             Rejection::NoRoute => b"no route\n",
             Rejection::MissingApiKey => b"a key is needed\n",
             Rejection::UnknownApiKey => b"unknown key\n",
--- a/crates/fernknot-gateway/src/counters.rs
+++ b/crates/fernknot-gateway/src/counters.rs
@@ -49,7 +49,7 @@
         *self.rejected.entry((rejection.status(), state)).or_default() += 1;
         let counter = match rejection {
             Rejection::NoConfig => &mut self.without_config,
-            Rejection::UnconfirmedConfig => &mut self.unconfirmed_config,
+            Rejection::UnconfirmedConfig | Rejection::UnconfirmedLimit => &mut self.unconfirmed_config,
             Rejection::NoRoute => &mut self.unrouted,
             Rejection::MissingApiKey => &mut self.without_api_key,
             Rejection::UnknownApiKey => &mut self.unknown_api_key,
--- a/crates/fernknot-gateway/src/data_plane.rs
+++ b/crates/fernknot-gateway/src/data_plane.rs
@@ -95,6 +95,7 @@
         match self.clients.read(now, id, limits, max_partial_body_bytes, network)? {
             ClientRead::Request(request) => Some(request),
             ClientRead::Rejected(rejection) => {
+                let rejection = self.routing.confirmed_limit(now, rejection);
                 self.reject(now, id, rejection, network);
                 None
             }
--- a/crates/fernknot-gateway/src/routing.rs
+++ b/crates/fernknot-gateway/src/routing.rs
@@ -177,6 +177,15 @@
         if self.confirmation.covers(now, revision) { rejection } else { Rejection::UnconfirmedConfig }
     }
 
+    /// Returns the rejection of a request that could not be read. A size above the limits is rejected for good only if
+    /// the configuration that sets them is confirmed.
+    pub(crate) fn confirmed_limit(&self, now: Nanos, rejection: Rejection) -> Rejection {
+        let Rejection::Malformed(error) = rejection else { return rejection };
+        let confirms = |config: &Rc<ConfigSnapshot>| self.confirmation.covers(now, config.revision);
+        let is_confirmed = self.config.as_ref().is_some_and(confirms);
+        if error.exceeds_limit() && !is_confirmed { Rejection::UnconfirmedLimit } else { rejection }
+    }
+
     /// Returns one part for each service that has to answer, all of the same weight.
     fn parts(&mut self, target: &RouteTarget) -> Vec<RequestedPart> {
         let services: Vec<&str> = match target {
--- a/crates/fernknot-protocol/src/body.rs
+++ b/crates/fernknot-protocol/src/body.rs
@@ -1,10 +1,10 @@
 //! Body of an HTTP message: with a content length, chunked, or up to the end of the connection.
 
 use crate::buffer::Buffer;
-use crate::http_error::HttpError;
+use crate::http_error::{CONTENT_TOO_LARGE, HttpError};
 use httparse::Status;
 
-const BODY_TOO_LARGE: HttpError = HttpError { status: 413, reason: "body too large" };
+const BODY_TOO_LARGE: HttpError = HttpError { status: CONTENT_TOO_LARGE, reason: "body too large" };
 const BAD_CHUNK: HttpError = HttpError { status: 400, reason: "bad chunk" };
 
 /// Framing of a body, with the progress of reading it.
--- a/crates/fernknot-protocol/src/http/request.rs
+++ b/crates/fernknot-protocol/src/http/request.rs
@@ -3,7 +3,7 @@
 use super::head;
 use crate::body::{BodyFraming, BodyLimits, framing};
 use crate::buffer::Buffer;
-use crate::http_error::HttpError;
+use crate::http_error::{HEAD_TOO_LARGE, HttpError};
 use fernknot_router_config::Limits;
 use httparse::Status;
 use std::fmt;
@@ -116,7 +116,7 @@
         Ok(Status::Complete(bytes)) if bytes <= limits.max_head_bytes => bytes,
         Ok(Status::Partial) if buffer.len() <= limits.max_head_bytes => return Ok(None),
         Ok(_) | Err(httparse::Error::TooManyHeaders) => {
-            return Err(HttpError { status: 431, reason: "head too large" });
+            return Err(HttpError { status: HEAD_TOO_LARGE, reason: "head too large" });
         }
         Err(_) => return Err(HttpError { status: 400, reason: "not HTTP" }),
     };
