--- a/crates/fernknot-controller/tests/usage_reporting.rs
+++ b/crates/fernknot-controller/tests/usage_reporting.rs
@@ -308,3 +308,25 @@
         assert!(counters.replace(' ', "").contains(counter), "{counter} in {counters}");
     }
 }
+
+// A content that another leader may replace must not reach the platform.
+#[test]
+fn given_disks_that_hang_when_a_window_closes_then_it_is_not_reported_before_its_content_is_committed() {
+    let mut cluster = cluster(3, 1);
+    run_with_usage(&mut cluster, &[1, 2, 3], 11);
+    // Window 1001 is closed 13 s after the start.
+    let reported = cluster.platform.accepted.len();
+    assert!(cluster.now < ms(13_000));
+    for machine_id in 1..=3 {
+        cluster.set_write_mode(machine_id, WriteMode::Hang);
+    }
+    run_with_usage(&mut cluster, &[1, 2, 3], 2);
+    assert_eq!(cluster.platform.accepted.len(), reported, "a window was reported without a commit");
+    for machine_id in 1..=3 {
+        cluster.set_write_mode(machine_id, WriteMode::Succeed);
+    }
+    cluster.run(ms(25_000));
+    let now = cluster.now;
+    cluster.platform.check_due(now, USAGE_DELAY, now);
+    assert!(cluster.platform.accepted.len() > reported);
+}
