Add a failing test: a controller that can't read the newest state keeps its lease

It announces the older revision with a lease, and gateways take an outdated configuration as confirmed. Occurs beside controllers of a later build.

--- a/crates/fernknot-controller/tests/old_disk.rs
+++ b/crates/fernknot-controller/tests/old_disk.rs
@@ -136,3 +136,22 @@
         assert_eq!(cluster.read_config(controller), (200, config_json(21, "next")), "read at {controller}");
     }
 }
+
+/// Beginning of a state that a later release may write.
+const UNKNOWN_STATE: &[u8] = b"\xFFlater";
+
+// A controller that can't read the newest state would confirm an older configuration.
+#[test]
+fn given_a_state_that_cannot_be_decoded_when_it_is_delivered_then_the_controller_holds_no_lease() {
+    let mut cluster = Cluster::new(0, 3, 1);
+    for controller in CONTROLLERS {
+        let Disk { consensus_state, known_peers } = read_disk(controller);
+        let consensus_state = PersistentState { state: UNKNOWN_STATE.into(), ..consensus_state };
+        cluster.put_disk(controller, consensus_state, known_peers);
+        cluster.start(controller, false);
+    }
+    cluster.run(ms(6000));
+    for controller in CONTROLLERS {
+        assert!(!cluster.controller_mut(controller).holds_lease(), "lease at {controller}");
+    }
+}
