Hold no lease while the newest state can't be read

Gateways took an outdated configuration as confirmed, and answered 404 by it: a controller that could not decode a delivered state logged an error, went on with the older configuration, and announced its revision with a lease. Seen in a test only; it takes controllers of different builds.

Cause: the lease spoke of the state that the consensus delivered, not of the configuration that was activated from it. The controller has no lease now until it activates a newer state, so gateways choose another one.

--- a/crates/fernknot-controller/src/controller/changes.rs
+++ b/crates/fernknot-controller/src/controller/changes.rs
@@ -147,9 +147,11 @@
     }
 
     /// Activates a state that the consensus member delivered: finishes the changes that it lists as committed, and
-    /// sends it to the subscribers that lack it. A state that can't be parsed is logged and ignored.
+    /// sends it to the subscribers that lack it. A state that can't be parsed is logged, and ends the lease until one can.
     pub(super) fn activate_config(&mut self, revision: Revision, state: &[u8]) {
-        let config = match self.active_config.successor(revision, state, &self.settings.digest_key) {
+        let successor = self.active_config.successor(revision, state, &self.settings.digest_key);
+        self.is_newest_state_unreadable = successor.is_err();
+        let config = match successor {
             Ok(config) => config,
             Err(error) => {
                 return self.actions.log(Level::Error, component::ROUTING_CONFIG, error.to_string());
--- a/crates/fernknot-controller/src/controller/consensus_events.rs
+++ b/crates/fernknot-controller/src/controller/consensus_events.rs
@@ -108,6 +108,7 @@
     /// and an empty state. Otherwise a retry could be acknowledged from a history that an operator has discarded.
     fn identity_replaced(&mut self) {
         self.active_config = ActiveConfig::empty();
+        self.is_newest_state_unreadable = false;
         if let Some(usage) = &mut self.usage {
             usage.reporter.view_left();
             usage.abandon_proposal();
--- a/crates/fernknot-controller/src/controller/state.rs
+++ b/crates/fernknot-controller/src/controller/state.rs
@@ -35,6 +35,8 @@
     pub(super) timers: Timers,
     pub(super) consensus: ConsensusDriver,
     pub(super) active_config: ActiveConfig,
+    /// Whether the state that was delivered last can't be read, so that the active configuration is an older one.
+    pub(super) is_newest_state_unreadable: bool,
     pub(super) changes: PendingChanges,
     pub(super) read_indexes: PendingReadIndexes,
     pub(super) nodes: NodeRegistry,
@@ -87,6 +89,7 @@
             timers: Timers::new(now, settings.heartbeat_interval, subscriber_heartbeat_interval),
             consensus: ConsensusDriver::new(now),
             active_config: ActiveConfig::empty(),
+            is_newest_state_unreadable: false,
             changes: PendingChanges::new(bug == Some(SeededBug::ForgetHistoryEarly)),
             read_indexes: PendingReadIndexes::default(),
             nodes: NodeRegistry::new(settings.heartbeat_interval),
@@ -117,10 +120,10 @@
         self.timers.now()
     }
 
-    /// Whether a majority of the view's voters has answered heartbeats within the lease duration, so that the local
-    /// state is no older than that.
+    /// Whether a majority of the view's voters has answered heartbeats within the lease duration, so that the active
+    /// configuration is no older than that. False if the newest state can't be read.
     pub fn holds_lease(&self) -> bool {
-        self.consensus.has_lease(self.now())
+        self.consensus.has_lease(self.now()) && !self.is_newest_state_unreadable
     }
 
     /// Whether no majority of the voters is reachable. False in the first suspicion timeout after a start or a stall.
