--- a/crates/fernknot-simulator/tests/change_series.rs
+++ b/crates/fernknot-simulator/tests/change_series.rs
@@ -33,6 +33,7 @@
 /// A controller is cut off from the other controllers, and gateways in contact with all of them leave it within the
 /// apply deadline, whatever attempts have failed before.
 #[test_case(17)]
+#[test_case(276)]
 fn given_a_controller_cut_off_from_the_others_when_earlier_attempts_failed_then_gateways_leave_it_in_time(
     seed: u64,
 ) {
