--- a/crates/fernknot-controller/src/controller/publication.rs
+++ b/crates/fernknot-controller/src/controller/publication.rs
@@ -91,7 +91,10 @@
     }
 
     fn send_heartbeat_to(&mut self, to: Vec<SubscriberId>) {
-        self.send_time_of_day(to.clone());
+        // Without a majority, the time of day may rest on the clock of this machine alone.
+        if self.holds_lease() {
+            self.send_time_of_day(to.clone());
+        }
         let heartbeat = self.heartbeat();
         self.actions.notify(to, heartbeat);
     }
--- a/crates/fernknot-controller/tests/usage_reporting.rs
+++ b/crates/fernknot-controller/tests/usage_reporting.rs
@@ -107,6 +107,21 @@
     assert_eq!(cluster.config_epochs(subscriber), [5, 6]);
 }
 
+/// Guards against usage counted in wrong windows by the clock of a controller that is cut off from the others.
+#[test]
+fn given_a_controller_without_a_lease_when_it_sends_heartbeats_then_it_states_no_time_of_day() {
+    let mut cluster = cluster(3, 1);
+    assert_eq!(cluster.replace_config(1, 0, &config_json(5, "a")), 200);
+    let subscriber = cluster.subscribe(3, Subscription::All, 0);
+    cluster.partition(3);
+    cluster.run(ms(3000));
+    cluster.received.get_mut(&subscriber).unwrap().clear();
+    cluster.run(ms(1000));
+    let messages = &cluster.received[&subscriber];
+    assert!(messages.iter().any(|message| matches!(message, ControllerToGateway::Heartbeat { .. })));
+    assert!(!messages.iter().any(|message| matches!(message, ControllerToGateway::TimeOfDay { .. })));
+}
+
 #[test]
 fn given_changes_of_the_configuration_when_usage_is_fixed_between_them_then_each_is_acknowledged_quickly() {
     let mut cluster = cluster(3, 1);
