--- a/crates/fernknot-controller/tests/usage_reporting.rs
+++ b/crates/fernknot-controller/tests/usage_reporting.rs
@@ -107,6 +107,21 @@
     assert_eq!(cluster.config_epochs(subscriber), [5, 6]);
 }
 
+/// Guards against usage counted in wrong windows by the clock of a controller that is cut off from the others.
+#[test]
+fn given_a_controller_without_a_lease_when_it_sends_heartbeats_then_it_states_no_time_of_day() {
+    let mut cluster = cluster(3, 1);
+    assert_eq!(cluster.replace_config(1, 0, &config_json(5, "a")), 200);
+    let subscriber = cluster.subscribe(3, Subscription::All, 0);
+    cluster.partition(3);
+    cluster.run(ms(3000));
+    cluster.received.get_mut(&subscriber).unwrap().clear();
+    cluster.run(ms(1000));
+    let messages = &cluster.received[&subscriber];
+    assert!(messages.iter().any(|message| matches!(message, ControllerToGateway::Heartbeat { .. })));
+    assert!(!messages.iter().any(|message| matches!(message, ControllerToGateway::TimeOfDay { .. })));
+}
+
 #[test]
 fn given_changes_of_the_configuration_when_usage_is_fixed_between_them_then_each_is_acknowledged_quickly() {
     let mut cluster = cluster(3, 1);
@@ -308,3 +323,25 @@
         assert!(counters.replace(' ', "").contains(counter), "{counter} in {counters}");
     }
 }
+
+// A content that another leader may replace must not reach the platform.
+#[test]
+fn given_disks_that_hang_when_a_window_closes_then_it_is_not_reported_before_its_content_is_committed() {
+    let mut cluster = cluster(3, 1);
+    run_with_usage(&mut cluster, &[1, 2, 3], 11);
+    // Window 1001 is closed 13 s after the start.
+    let reported = cluster.platform.accepted.len();
+    assert!(cluster.now < ms(13_000));
+    for machine_id in 1..=3 {
+        cluster.set_write_mode(machine_id, WriteMode::Hang);
+    }
+    run_with_usage(&mut cluster, &[1, 2, 3], 2);
+    assert_eq!(cluster.platform.accepted.len(), reported, "a window was reported without a commit");
+    for machine_id in 1..=3 {
+        cluster.set_write_mode(machine_id, WriteMode::Succeed);
+    }
+    cluster.run(ms(25_000));
+    let now = cluster.now;
+    cluster.platform.check_due(now, USAGE_DELAY, now);
+    assert!(cluster.platform.accepted.len() > reported);
+}
