--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -60,11 +60,13 @@
     let record = Record::new();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let case = std::env::args().nth(1).unwrap_or_default();
-    let result = match case.as_str() {
+    let run = || match case.as_str() {
         "big-config" => big_config::run(&record, trouble),
         "stop-answers" => stop_answers::run(&record, trouble),
         _ => Err(format!("unknown case {case:?}")),
     };
+    let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run));
+    let result = result.unwrap_or_else(|_| Err("the program of the case panicked".into()));
     let code = match result {
         Ok(Verdict::Held) => {
             record.note("RESULT: the rule held");
--- a/review/stand_ins/system.rs
+++ b/review/stand_ins/system.rs
@@ -3,18 +3,23 @@
 
 use crate::http::call;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
+const SIGKILL: u64 = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
+
 const CONTROL_PORT: u16 = 8729;
 const FRONT_PORT: u16 = 8726;
 const READY_PORT: u16 = 8723;
@@ -94,16 +99,23 @@
             Role::Controller => "target/release/fernknot-controller",
             Role::Gateway => "target/release/fernknot-gateway",
         };
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        command
             .env_clear()
             .env("PATH", std::env::var("PATH").unwrap_or_default())
             .env("HOME", std::env::var("HOME").unwrap_or_default())
             .env("FERNKNOT_CONFIG", &path)
             .stdin(Stdio::null())
             .stdout(log.try_clone().map_err(|error| error.to_string())?)
-            .stderr(log)
-            .spawn()
-            .map_err(|error| format!("{program}: {error}"))?;
+            .stderr(log);
+        // SAFETY: prctl is a system call that may be made between fork and exec. The process ends with this one.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command.spawn().map_err(|error| format!("{program}: {error}"))?;
         process.child = Some(child);
         Ok(())
     }
