--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -A dead_code -o target/review/review-stand-ins review/stand_ins/main.rs
+rustc --edition 2024 -O -A dead_code -o target/review/review-stand-ins review/stand_ins.rs
