--- a/review/stand-ins-2/long_tenant_names.rs
+++ b/review/stand-ins-2/long_tenant_names.rs
@@ -23,8 +23,6 @@
 const SLACK_MS: u64 = 5_000;
 /// Time with traffic before the trouble: longer than the windows that gateways keep.
 const WARM_UP_S: f64 = 38.0;
-/// Time from the return of the controllers to the first window that is judged: twice `contact_ms`.
-const CALM_MS: u64 = 10_000;
 /// Time from the return of the controllers to the end.
 const MEASURED: Duration = Duration::from_secs(58);
 
@@ -134,6 +132,7 @@
             })
         })
         .collect();
+    let traffic_from = node::unix_ms();
     let started = Instant::now();
     while started.elapsed().as_secs_f64() < WARM_UP_S {
         std::thread::sleep(Duration::from_millis(100));
@@ -152,7 +151,6 @@
         controllers.iter().for_each(|index| system.spawn(*index, false));
         record.line("all three controllers started again, with their disks");
     }
-    let calm_from = node::unix_ms();
     std::thread::sleep(MEASURED);
     stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| drop(client.join()));
@@ -174,8 +172,8 @@
     for run in &runs {
         *truth.entry(run.unix_ms / WINDOW_MS).or_default().entry(run.tenant.clone()).or_default() += 1;
     }
-    // Windows that began calm, and were due a while ago.
-    let first = (calm_from + CALM_MS).div_ceil(WINDOW_MS);
+    // Windows with traffic throughout that were due a while ago.
+    let first = traffic_from.div_ceil(WINDOW_MS);
     let last = (node::unix_ms() - USAGE_DELAY_MS - SLACK_MS) / WINDOW_MS - 1;
     let mut wrong = 0;
     for (window, counts) in &truth {
@@ -203,7 +201,7 @@
         "{wrong} of {} judged windows have reports that are missing or off by more than 0.05 of all requests",
         (last + 1).saturating_sub(first)
     ));
-    i32::from(wrong > 1)
+    i32::from(wrong > 0)
 }
 
 /// Whether a count is off by more than `usage_error`.
--- a/review/stand-ins-2/slow_reader.rs
+++ b/review/stand-ins-2/slow_reader.rs
@@ -16,9 +16,12 @@
 use system::{Record, Role, SMALL_BOUNDS, Settings, System, ZONES};
 
 const HOST: &str = "noje12.example";
-const PATH: &str = "/lopu192/page";
-const BODY_BYTES: usize = 540_000;
-/// Speed at which a client reads, in bytes a second. The whole answer takes 4.9 s.
+/// Size of an answer. A whole one takes 4.9 s or more to read.
+const PAGE_BYTES: usize = 540_000;
+/// Size of an answer that is read with a pause, which takes 5.7 s with it.
+const SHORT_PAGE_BYTES: usize = 250_000;
+const STALL: Duration = Duration::from_millis(3_300);
+/// Speed at which a client reads, in bytes a second.
 const READ_RATE: f64 = 110_000.0;
 const DEADLINE_MS: u64 = 6000;
 const CLIENTS: usize = 6;
@@ -62,7 +65,7 @@
 }
 
 /// Sends one request, and reads the answer at the speed of the link, with a pause after 60,000 bytes.
-fn load_page(front: SocketAddrV4, attempt: &str, stall: Duration) -> Answer {
+fn load_page(front: SocketAddrV4, attempt: &str, page_bytes: usize, stall: Duration) -> Answer {
     let sent_at = Instant::now();
     let failed = |text: String| Answer { is_complete: false, was_begun: false, text };
     let mut stream = match connect_over_slow_link(front) {
@@ -71,7 +74,7 @@
     };
     let deadline = DEADLINE_MS.to_string();
     let headers = [("Host", HOST), ("Attempt-Id", attempt), ("Deadline-Ms", deadline.as_str())];
-    if let Err(error) = stream.write_all(&http::request("GET", PATH, &headers, b"")) {
+    if let Err(error) = stream.write_all(&http::request("GET", &format!("/lopu192/{page_bytes}"), &headers, b"")) {
         return failed(format!("not sent: {error}"));
     }
     let _ = stream.set_read_timeout(Some(Duration::from_millis(DEADLINE_MS)));
@@ -92,7 +95,7 @@
             std::thread::sleep(stall);
         }
         let body = body_bytes(&bytes);
-        if body.is_some_and(|body| body >= BODY_BYTES) {
+        if body.is_some_and(|body| body >= page_bytes) {
             break "complete".to_string();
         }
         std::thread::sleep(next_at.saturating_duration_since(Instant::now()));
@@ -105,7 +108,7 @@
         is_complete: end == "complete" || is_failure,
         was_begun: !bytes.is_empty(),
         text: format!(
-            "status {status}, {body} of {BODY_BYTES} bytes, {end} {:.2} s after it was sent",
+            "status {status}, {body} of {page_bytes} bytes, {end} {:.2} s after it was sent",
             sent_at.elapsed().as_secs_f64()
         ),
     }
@@ -129,25 +132,26 @@
                 let mut reader = BufReader::new(stream);
                 while let Ok(request) = http::read_message(&mut reader) {
                     let attempt = request.header("Attempt-Id").unwrap_or_default().to_string();
-                    let mut reply = match request.header("Target-Node") {
+                    let reply = match request.header("Target-Node") {
                         Some(target) if target != id => format!(
                             "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n"
                         )
                         .into_bytes(),
                         _ => {
                             runs.fetch_add(1, Ordering::SeqCst);
+                            let path = request.start.split(' ').nth(1).unwrap_or_default();
+                            let size = path.rsplit('/').next().and_then(|size| size.parse().ok()).unwrap_or(0);
                             let head = format!(
-                                "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nAnswer-Seal: {id}.{attempt}\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+                                "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nAnswer-Seal: {id}.{attempt}\r\nContent-Length: {size}\r\n\r\n"
                             );
                             let mut reply = head.into_bytes();
-                            reply.resize(reply.len() + BODY_BYTES, b'p');
+                            reply.resize(reply.len() + size, b'p');
                             reply
                         }
                     };
                     if reader.get_mut().write_all(&reply).is_err() {
                         return;
                     }
-                    reply.clear();
                 }
             });
         }
@@ -206,14 +210,14 @@
     front: SocketAddrV4,
     name: &'static str,
     delay: Duration,
-    stall: Duration,
+    (page_bytes, stall): (usize, Duration),
 ) -> Vec<JoinHandle<Answer>> {
     let client = |number: usize| {
         let record = record.clone();
         std::thread::spawn(move || {
             std::thread::sleep(delay);
             let attempt = format!("{name}-{number}");
-            let answer = load_page(front, &attempt, stall);
+            let answer = load_page(front, &attempt, page_bytes, stall);
             record.line(&format!("request {attempt}: {}", answer.text));
             answer
         })
@@ -258,14 +262,16 @@
     i32::from(lost > 0)
 }
 
+const WHOLE_PAGE: (usize, Duration) = (PAGE_BYTES, Duration::ZERO);
+
 /// Half of the requests are sent before the signal, half after it: the gateway still serves new connections then, until
 /// the platform has noticed that it is not ready.
 fn stop_gateway(record: &Arc<Record>, system: &mut System, with_trouble: bool) -> Vec<Answer> {
     let front = system.front(0);
     let started = Instant::now();
     let signal_at = Duration::from_millis(500);
-    let mut clients = start_clients(record, front, "before", Duration::from_millis(50), Duration::ZERO);
-    clients.extend(start_clients(record, front, "after", signal_at + Duration::from_millis(600), Duration::ZERO));
+    let mut clients = start_clients(record, front, "before", Duration::from_millis(50), WHOLE_PAGE);
+    clients.extend(start_clients(record, front, "after", signal_at + Duration::from_millis(600), WHOLE_PAGE));
     let gateway = system.index(Role::Gateway, 0);
     std::thread::sleep(signal_at.saturating_sub(started.elapsed()));
     if with_trouble {
@@ -293,17 +299,18 @@
 ) -> Vec<Answer> {
     let mut answers = Vec::new();
     for _ in 0..2 {
-        answers.extend(join(start_clients(record, front, "before", Duration::ZERO, Duration::ZERO)));
+        answers.extend(join(start_clients(record, front, "before", Duration::ZERO, WHOLE_PAGE)));
     }
     let idle_ms = if with_trouble { 2_000 } else { 15_000 };
     replace_config(control, 5, &config(7, idle_ms));
     record.line(&format!("configuration 7 is acknowledged; idle_ms is {idle_ms}"));
     std::thread::sleep(Duration::from_millis(300));
-    answers.extend(join(start_clients(record, front, "after", Duration::ZERO, Duration::ZERO)));
+    answers.extend(join(start_clients(record, front, "after", Duration::ZERO, WHOLE_PAGE)));
     answers
 }
 
 fn stall_clients(record: &Arc<Record>, front: SocketAddrV4, with_trouble: bool) -> Vec<Answer> {
-    let stall = if with_trouble { Duration::from_millis(3_600) } else { Duration::ZERO };
-    join(start_clients(record, front, "stalled", Duration::ZERO, stall))
+    let stall = if with_trouble { STALL } else { Duration::ZERO };
+    record.line(&format!("the clients read 60,000 bytes, then nothing for {:.1} s, then go on", stall.as_secs_f64()));
+    join(start_clients(record, front, "stalled", Duration::ZERO, (SHORT_PAGE_BYTES, stall)))
 }
