--- a/review/stand-ins-2/slow_reader.rs
+++ b/review/stand-ins-2/slow_reader.rs
@@ -1,5 +1,5 @@
-//! Cases with clients that read a large answer over a slow link. The second argument names the disruption: `stop` (the
-//! gateway gets SIGTERM), `idle` (a configuration shortens `idle_ms`) or `stall` (the clients stop reading for a while).
+//! Cases with clients that read a large answer over a slow link. The second argument names the disruption: `idle` (a
+//! configuration shortens `idle_ms`) or `stall` (the clients stop reading for a while).
 
 #[path = "http.rs"]
 mod http;
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
-use system::{Record, Role, SMALL_BOUNDS, Settings, System, ZONES};
+use system::{Record, SMALL_BOUNDS, Settings, System, ZONES};
 
 const HOST: &str = "noje12.example";
 /// Size of an answer. A whole one takes 4.9 s or more to read.
@@ -232,9 +232,9 @@
 fn run() -> i32 {
     let mut arguments = std::env::args().skip(1);
     let record = Arc::new(Record::create(&arguments.next().unwrap_or("record.txt".into())));
-    let mode = arguments.next().unwrap_or("stop".into());
+    let mode = arguments.next().unwrap_or("idle".into());
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let mut system = System::start(Settings {
+    let system = System::start(Settings {
         controllers: 3,
         gateway_zones: vec![ZONES[0], ZONES[0], ZONES[1]],
         bounds: SMALL_BOUNDS,
@@ -252,7 +252,6 @@
     std::thread::sleep(Duration::from_secs(6));
     let front = system.front(0);
     let answers = match mode.as_str() {
-        "stop" => stop_gateway(&record, &mut system, with_trouble),
         "idle" => shorten_idle_time(&record, &control, front, with_trouble),
         _ => stall_clients(&record, front, with_trouble),
     };
@@ -264,32 +263,6 @@
 
 const WHOLE_PAGE: (usize, Duration) = (PAGE_BYTES, Duration::ZERO);
 
-/// Half of the requests are sent before the signal, half after it: the gateway still serves new connections then, until
-/// the platform has noticed that it is not ready.
-fn stop_gateway(record: &Arc<Record>, system: &mut System, with_trouble: bool) -> Vec<Answer> {
-    let front = system.front(0);
-    let started = Instant::now();
-    let signal_at = Duration::from_millis(500);
-    let mut clients = start_clients(record, front, "before", Duration::from_millis(50), WHOLE_PAGE);
-    clients.extend(start_clients(record, front, "after", signal_at + Duration::from_millis(600), WHOLE_PAGE));
-    let gateway = system.index(Role::Gateway, 0);
-    std::thread::sleep(signal_at.saturating_sub(started.elapsed()));
-    if with_trouble {
-        system.signal(gateway, "TERM");
-        record.line("SIGTERM to gateway 0; grace_s is 6");
-    }
-    let mut has_ended = false;
-    while started.elapsed() < Duration::from_millis(7500) {
-        if !has_ended && let Some(status) = system.ended(gateway) {
-            let after = (started.elapsed() - signal_at).as_secs_f64();
-            record.line(&format!("gateway 0 has ended, {status}, {after:.2} s after the signal"));
-            has_ended = true;
-        }
-        std::thread::sleep(Duration::from_millis(10));
-    }
-    join(clients)
-}
-
 /// Requests before the change, and right after it.
 fn shorten_idle_time(
     record: &Arc<Record>,
